--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV = .venv
+BIN = $(VENV)/bin
+
+.PHONY: install run test lint format measure capacity clean
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+install: $(VENV)/.installed
+
+run: install
+	$(BIN)/python examples/run.py
+
+test: install
+	$(BIN)/nose2 -c unittest.cfg -s tests -t .
+
+lint: install
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: install
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+measure: install
+	$(BIN)/python scripts/measure.py
+
+capacity: install
+	$(BIN)/python scripts/capacity.py
+
+clean:
+	rm -rf $(VENV) .run
--- /dev/null
+++ b/knapweedshed/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Message encodings: the only importers of codec libraries."""
--- /dev/null
+++ b/knapweedshed/codecs/text.py
@@ -0,0 +1,50 @@
+"""JSON at the edge: callers, operators and the platform's services."""
+
+import base64
+import json
+
+from knapweedshed.codecs.plain import from_plain, to_plain
+
+_BYTES_KEY = "base64"
+
+
+class TextError(ValueError):
+    """Text that is not JSON, or not the message that was expected."""
+
+
+def dumps(value):
+    """Return `value` as JSON text; typed messages keep their class name."""
+    return json.dumps(to_plain(value), default=_bytes_to_text, separators=(",", ":"))
+
+
+def loads(text):
+    """Return plain JSON values; raises TextError."""
+    try:
+        return json.loads(text, object_hook=_text_to_bytes)
+    except (ValueError, RecursionError) as error:
+        raise TextError(f"not JSON: {error}") from error
+
+
+def loads_message(text):
+    """Return a typed message; raises TextError."""
+    return message_from(loads(text))
+
+
+def message_from(plain):
+    """Return the typed message in plain JSON values; raises TextError."""
+    try:
+        return from_plain(plain)
+    except (ValueError, TypeError) as error:
+        raise TextError(f"not a known message: {error}") from error
+
+
+def _bytes_to_text(value):
+    if isinstance(value, bytes):
+        return {_BYTES_KEY: base64.b64encode(value).decode("ascii")}
+    raise TypeError(f"cannot encode {type(value).__name__}")
+
+
+def _text_to_bytes(plain):
+    if len(plain) == 1 and _BYTES_KEY in plain:
+        return base64.b64decode(plain[_BYTES_KEY])
+    return plain
--- /dev/null
+++ b/knapweedshed/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy: no actors, sockets, codecs, clocks, threads or logs."""
--- /dev/null
+++ b/knapweedshed/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The request chain: one module per filter."""
--- /dev/null
+++ b/knapweedshed/links/__init__.py
@@ -0,0 +1,1 @@
+"""Actors that own sockets, and the adapters to outside systems."""
--- /dev/null
+++ b/knapweedshed/metrics.py
@@ -0,0 +1,83 @@
+"""Metrics by statsd; names are listed in docs/OPERATIONS.md."""
+
+from abc import ABC, abstractmethod
+from collections import Counter
+
+import statsd
+
+PREFIX = "knapweedshed"
+
+
+class Metrics(ABC):
+    """Counts and timings that a process reports."""
+
+    @abstractmethod
+    def count(self, name, by=1):
+        """Add `by` to counter `name`."""
+
+    @abstractmethod
+    def timing(self, name, value_ms):
+        """Report a duration in milliseconds."""
+
+    @abstractmethod
+    def gauge(self, name, value):
+        """Report a current value."""
+
+    @abstractmethod
+    def snapshot(self):
+        """Return what was counted since the start, for the state dump."""
+
+
+class LocalMetrics(Metrics):
+    """Keeps counters in the process only."""
+
+    def __init__(self):
+        self._counts = Counter()
+        self._gauges = {}
+
+    def count(self, name, by=1):
+        """Add `by` to counter `name`."""
+        self._counts[name] += by
+
+    def timing(self, name, value_ms):
+        """Count the report; single durations are not kept."""
+        self._counts[f"{name}.reports"] += 1
+
+    def gauge(self, name, value):
+        """Keep the last value."""
+        self._gauges[name] = value
+
+    def snapshot(self):
+        """Return all counters and gauges."""
+        return {**self._counts, **self._gauges}
+
+
+class StatsdMetrics(LocalMetrics):
+    """Keeps counters and sends each report to a statsd server over UDP."""
+
+    def __init__(self, host, port, role):
+        super().__init__()
+        self._client = statsd.StatsClient(host, port, prefix=f"{PREFIX}.{role}")
+
+    def count(self, name, by=1):
+        """Add `by` to counter `name` here and at the server."""
+        super().count(name, by)
+        self._client.incr(name, by)
+
+    def timing(self, name, value_ms):
+        """Send a duration in milliseconds."""
+        super().timing(name, value_ms)
+        self._client.timing(name, value_ms)
+
+    def gauge(self, name, value):
+        """Send a current value."""
+        super().gauge(name, value)
+        self._client.gauge(name, value)
+
+
+def create_metrics(address, role):
+    """Return metrics for `address` (`ip:port`), or local ones where it is empty."""
+    if not address:
+        return LocalMetrics()
+    host, _, port = address.rpartition(":")
+    return StatsdMetrics(host, int(port), role)
--- /dev/null
+++ b/knapweedshed/models/__init__.py
@@ -0,0 +1,1 @@
+"""Typed data: `NamedTuple` and `TypedDict` only, no behaviour beyond derived values."""
--- /dev/null
+++ b/knapweedshed/models/jobs.py
@@ -0,0 +1,72 @@
+"""Jobs: what a caller asked for, and what became of it."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from knapweedshed.models.configuration import Urgency
+from knapweedshed.models.shapes import Shape
+from knapweedshed.results import ResultCode
+
+
+class InputReference(NamedTuple):
+    """Where a job's input stands: inline, or in chunks in a log stream."""
+
+    length: int
+    digest: str
+    stream: str = ""
+    first_offset: int = -1
+    chunks: int = 0
+    inline: bytes = b""
+
+
+class Job(NamedTuple):
+    """A job for workers, complete enough to run it from the log alone."""
+
+    job_id: str
+    organisation: str
+    service: str
+    key: str
+    program: str
+    home: str
+    shape: Shape
+    urgency: Urgency
+    idempotent: bool
+    can_checkpoint: bool
+    declared_run_ms: int
+    accepted_wall_ms: int
+    deadline_wall_ms: int
+    input: InputReference
+
+
+class AnswerLocation(NamedTuple):
+    """Where a whole answer is held, and how to tell that it is whole."""
+
+    worker: str
+    address: str
+    task: str
+    length: int
+    digest: str
+
+
+class JobState(StrEnum):
+    """Where a job stands."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class JobStatus(NamedTuple):
+    """What a caller is told about a job."""
+
+    job_id: str
+    state: JobState
+    code: ResultCode
+    reason: str = ""
+    organisation: str = ""
+    service: str = ""
+    answer: AnswerLocation | None = None
+    wait_ms: int = 0
+    run_ms: int = 0
+    workers: tuple[str, ...] = ()
--- /dev/null
+++ b/knapweedshed/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The library in which operators write configuration."""
--- /dev/null
+++ b/knapweedshed/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module per binary: builds the actors, starts and closes them."""
--- /dev/null
+++ b/knapweedshed/settings.py
@@ -0,0 +1,165 @@
+"""Settings of the daemons: flags over environment over defaults, checked once."""
+
+import ipaddress
+from typing import Any, NamedTuple
+
+from environs import Env
+
+from knapweedshed.logs import LEVELS
+
+ENVIRONMENT_PREFIX = "KNAPWEEDSHED_"
+
+
+class Setting(NamedTuple):
+    """One setting: its name, how its text is checked, default and help line."""
+
+    name: str
+    kind: str
+    default: Any
+    help: str
+
+
+class SettingsError(Exception):
+    """Settings that can't be used; `faults` holds one line each."""
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = tuple(faults)
+
+
+class Settings(dict):
+    """Checked settings by name, read as attributes."""
+
+    __getattr__ = dict.__getitem__
+
+
+COMMON = (
+    Setting("data_centre", "name", None, "data centre that this process is in"),
+    Setting("process_id", "text", "", "name in logs; default: program and port"),
+    Setting("listen", "address", None, "ip:port to listen on"),
+    Setting("log", "url_address", None, "ip:port of the platform's log service"),
+    Setting("hosts", "url_address", None, "ip:port of the platform's host list"),
+    Setting("platform", "text", "http", "adapter to the platform, by registry name"),
+    Setting("statsd", "optional_address", "", "ip:port of statsd; empty: none"),
+    Setting("log_level", "level", "info", "debug, info, warning or error"),
+    Setting("drain_ms", "milliseconds", 30_000, "longest graceful stop"),
+    Setting(
+        "schedulers",
+        "places",
+        (),
+        "schedulers of every data centre: name=ip:port,name=ip:port",
+    ),
+)
+
+
+def load_settings(specification, flags, environment=None):
+    """Return checked Settings; raises SettingsError with one line per fault."""
+    env = environment or Env()
+    faults = []
+    known = {setting.name for setting in specification}
+    for name in sorted(set(flags) - known):
+        faults.append(f"unknown flag --{name.replace('_', '-')}")
+    values = Settings()
+    for setting in specification:
+        text = flags.get(setting.name)
+        if text is None:
+            text = env.str(ENVIRONMENT_PREFIX + setting.name.upper(), None)
+        if text is None:
+            text = setting.default
+        flag = f"--{setting.name.replace('_', '-')}"
+        if text is None:
+            faults.append(f"{flag} is missing ({setting.help})")
+            continue
+        try:
+            values[setting.name] = _CHECKS[setting.kind](text)
+        except ValueError as error:
+            faults.append(f"{flag} {text!r}: {error}")
+    if faults:
+        raise SettingsError(faults)
+    return values
+
+
+def describe_settings(specification):
+    """Return help text: one line per setting."""
+    lines = []
+    for setting in specification:
+        flag = f"--{setting.name.replace('_', '-')}"
+        default = "" if setting.default in (None, "", ()) else f" [{setting.default}]"
+        lines.append(f"  {flag:<18} {setting.help}{default}")
+    return "\n".join(lines)
+
+
+def parse_address(text):
+    """Return (ip, port) of `ip:port`; raises ValueError."""
+    host, separator, port = str(text).rpartition(":")
+    if not separator:
+        raise ValueError("expected ip:port")
+    ipaddress.ip_address(host)
+    if not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError("port must be from 1 to 65535")
+    return host, int(port)
+
+
+def _address(text):
+    parse_address(text)
+    return str(text)
+
+
+def _optional_address(text):
+    return _address(text) if text else ""
+
+
+def _text(text):
+    return str(text)
+
+
+def _name(text):
+    name = str(text)
+    if not name or not all(char.isalnum() or char in "-_" for char in name):
+        raise ValueError("expected letters, digits, '-' and '_'")
+    return name
+
+
+def _milliseconds(text):
+    value = _count(text)
+    if value == 0:
+        raise ValueError("must be more than 0 ms")
+    return value
+
+
+def _count(text):
+    if not str(text).isdigit():
+        raise ValueError("expected a whole number")
+    return int(text)
+
+
+def _level(text):
+    if text not in LEVELS:
+        raise ValueError(f"expected one of {', '.join(LEVELS)}")
+    return text
+
+
+def _places(text):
+    if not text:
+        return ()
+    items = text if isinstance(text, (tuple, list)) else str(text).split(",")
+    places = []
+    for item in items:
+        name, separator, address = str(item).partition("=")
+        if not separator:
+            raise ValueError(f"{item!r}: expected data-centre=ip:port")
+        places.append((_name(name), _address(address)))
+    return tuple(places)
+
+
+_CHECKS = {
+    "address": _address,
+    "count": _count,
+    "level": _level,
+    "milliseconds": _milliseconds,
+    "name": _name,
+    "optional_address": _optional_address,
+    "places": _places,
+    "text": _text,
+    "url_address": _address,
+}
