--- /dev/null
+++ b/knapweedshed/decisions/attempts.py
@@ -0,0 +1,264 @@
+"""How an attempt goes on after each event: gangs whole or not at all.
+
+A gang's tasks are loaded but held until every member is loaded; then all are let
+run. Whoever is lost takes the others with it. A single task needs no barrier, so it
+runs as soon as it is loaded. What may have run is never called not run: that takes
+every worker's word, under a lease that it has barred.
+"""
+
+from functools import singledispatch
+
+from knapweedshed.models.attempts import (
+    Attempt,
+    CommandFailed,
+    End,
+    IntentSettled,
+    LeaseCleared,
+    LeaseGone,
+    LeaseGranted,
+    LeaseSeen,
+    Member,
+    Outcome,
+    Phase,
+    RecordIntent,
+    Send,
+    StopAsked,
+    TaskLoaded,
+    TaskReleased,
+    TaskStopped,
+    Ticked,
+)
+from knapweedshed.models.workers import LeaseState
+
+LEASING_LIMIT_MS = 4_000
+INTENT_LIMIT_MS = 5_000
+LOADING_LIMIT_MS = 30_000
+RELEASING_LIMIT_MS = 4_000
+STOPPING_LIMIT_MS = 3_000
+NEVER_STATES = ("never", "empty", "held")
+GONE = "gone"
+
+_LIMITS_MS = {
+    Phase.LEASING: LEASING_LIMIT_MS,
+    Phase.INTENT: INTENT_LIMIT_MS,
+    Phase.LOADING: LOADING_LIMIT_MS,
+    Phase.RELEASING: RELEASING_LIMIT_MS,
+    Phase.STOPPING: STOPPING_LIMIT_MS,
+}
+
+
+def begin(job_id, number, leases, needs_intent, now_ms):
+    """Return a new attempt on (lease id, placement) pairs, and its first actions."""
+    members = tuple(Member(lease_id, place) for lease_id, place in leases)
+    attempt = Attempt(job_id, number, members, needs_intent, since_ms=now_ms)
+    return attempt, tuple(Send("grant", index) for index in range(len(members)))
+
+
+def clear(attempt, goal, reason):
+    """Turn to ending every lease; return the attempt and its actions."""
+    attempt = attempt._replace(phase=Phase.CLEARING, goal=goal, reason=reason)
+    return _clearing(attempt)
+
+
+def step(attempt, event):
+    """Return (attempt, actions) after an event."""
+    if attempt.phase == Phase.ENDED:
+        return attempt, ()
+    return _on(event, attempt)
+
+
+@singledispatch
+def _on(event, attempt):
+    raise TypeError(f"no rule for {type(event).__name__}")
+
+
+@_on.register
+def _on_granted(event: LeaseGranted, attempt):
+    attempt = _set(attempt, event.member, granted=True)
+    if attempt.phase == Phase.CLEARING:
+        return attempt, (Send("free", event.member),)
+    if attempt.phase != Phase.LEASING:
+        return attempt, ()
+    if not all(member.granted for member in attempt.members):
+        return attempt, ()
+    if attempt.needs_intent:
+        return attempt._replace(phase=Phase.INTENT), (RecordIntent(),)
+    return _load(attempt)
+
+
+@_on.register
+def _on_intent(event: IntentSettled, attempt):
+    if attempt.phase != Phase.INTENT:
+        return attempt, ()
+    if not event.won:
+        return clear(attempt, Outcome.NOT_RUN, "another intent was first")
+    return _load(attempt)
+
+
+@_on.register
+def _on_loaded(event: TaskLoaded, attempt):
+    attempt = _set(attempt, event.member, loaded=True)
+    return _advance(attempt)
+
+
+@_on.register
+def _on_released(event: TaskReleased, attempt):
+    attempt = _set(attempt, event.member, loaded=True, released=True)
+    return _advance(attempt)
+
+
+@_on.register
+def _on_failed(event: CommandFailed, attempt):
+    member = attempt.members[event.member]
+    if event.verb == "grant" and attempt.phase == Phase.LEASING:
+        if event.refused:
+            attempt = _set(attempt, event.member, cleared="never")
+        return clear(attempt, Outcome.NOT_RUN, f"no lease: {event.reason}")
+    if event.verb == "start" and event.refused and not member.loaded:
+        if attempt.phase == Phase.LOADING:
+            return clear(attempt, Outcome.NOT_RUN, f"start refused: {event.reason}")
+    return attempt, ()
+
+
+@_on.register
+def _on_seen(event: LeaseSeen, attempt):
+    lease = event.lease
+    attempt = _set(attempt, event.member, lease=lease)
+    if attempt.phase in (Phase.CLEARING, Phase.STOPPING):
+        return attempt, ()
+    if lease.state == LeaseState.EMPTY:
+        return attempt, ()
+    if lease.state == LeaseState.HELD:
+        return _advance(_set(attempt, event.member, loaded=True))
+    if lease.state == LeaseState.RUNNING:
+        return _advance(_set(attempt, event.member, loaded=True, released=True))
+    if lease.state == LeaseState.FINISHED:
+        attempt = _set(attempt, event.member, loaded=True, released=True, finished=True)
+        return _advance(attempt)
+    if lease.state == LeaseState.FAILED:
+        return clear(attempt, Outcome.FAILED, lease.reason)
+    return clear(attempt, Outcome.LOST, f"a member was stopped: {lease.reason}")
+
+
+@_on.register
+def _on_gone(event: LeaseGone, attempt):
+    attempt = _set(attempt, event.member, cleared=GONE)
+    if attempt.phase == Phase.CLEARING:
+        return _settle(attempt)
+    if attempt.phase == Phase.STOPPING:
+        return clear(attempt, Outcome.LOST, event.reason)
+    return clear(attempt, Outcome.LOST, event.reason)
+
+
+@_on.register
+def _on_cleared(event: LeaseCleared, attempt):
+    attempt = _set(attempt, event.member, cleared=event.state)
+    if attempt.phase != Phase.CLEARING:
+        return attempt, ()
+    return _settle(attempt)
+
+
+@_on.register
+def _on_stopped(event: TaskStopped, attempt):
+    attempt = _set(attempt, event.member, token=event.token or "0")
+    if attempt.phase != Phase.STOPPING:
+        return attempt, ()
+    if not all(member.token for member in attempt.members):
+        return attempt, ()
+    return clear(attempt, Outcome.STOPPED, attempt.reason)
+
+
+@_on.register
+def _on_stop_asked(event: StopAsked, attempt):
+    if attempt.phase in (Phase.CLEARING, Phase.STOPPING):
+        return attempt, ()
+    if attempt.phase != Phase.RUNNING:
+        return clear(attempt, Outcome.NOT_RUN, event.reason)
+    if not event.checkpoint:
+        return clear(attempt, Outcome.STOPPED, event.reason)
+    attempt = attempt._replace(phase=Phase.STOPPING, reason=event.reason)
+    return attempt, tuple(Send("stop", i) for i in range(len(attempt.members)))
+
+
+@_on.register
+def _on_tick(event: Ticked, attempt):
+    if attempt.phase == Phase.CLEARING:
+        return _clearing(attempt)
+    limit_ms = _LIMITS_MS.get(attempt.phase)
+    if limit_ms is not None and event.now_ms - attempt.since_ms > limit_ms:
+        if attempt.phase == Phase.STOPPING:
+            return clear(attempt, Outcome.STOPPED, attempt.reason)
+        late = f"{attempt.phase.value} took more than {limit_ms} ms"
+        return clear(attempt, Outcome.NOT_RUN, late)
+    if attempt.phase == Phase.INTENT:
+        return attempt, ()
+    return attempt, tuple(_repeats(attempt))
+
+
+def _repeats(attempt):
+    for index, member in enumerate(attempt.members):
+        if attempt.phase == Phase.LOADING and not member.loaded:
+            yield Send(_start_verb(attempt), index)
+        if attempt.phase == Phase.RELEASING and not member.released:
+            yield Send("release", index)
+        if attempt.phase == Phase.STOPPING and not member.token:
+            yield Send("stop", index)
+
+
+def _load(attempt):
+    attempt = attempt._replace(phase=Phase.LOADING)
+    if not attempt.is_gang:
+        attempt = _set(attempt, 0, may_run=True)
+    verb = _start_verb(attempt)
+    return attempt, tuple(Send(verb, i) for i in range(len(attempt.members)))
+
+
+def _start_verb(attempt):
+    return "start-held" if attempt.is_gang else "start"
+
+
+def _advance(attempt):
+    if attempt.phase == Phase.LOADING and all(m.loaded for m in attempt.members):
+        if not attempt.is_gang:
+            attempt = attempt._replace(phase=Phase.RUNNING)
+            return _advance(attempt)
+        attempt = attempt._replace(phase=Phase.RELEASING)
+        for index in range(len(attempt.members)):
+            attempt = _set(attempt, index, may_run=True)
+        return attempt, tuple(Send("release", i) for i in range(len(attempt.members)))
+    if attempt.phase == Phase.RELEASING and all(m.released for m in attempt.members):
+        return _advance(attempt._replace(phase=Phase.RUNNING))
+    if attempt.phase == Phase.RUNNING and all(m.finished for m in attempt.members):
+        attempt = attempt._replace(phase=Phase.ENDED)
+        rest = range(1, len(attempt.members))
+        return attempt, (
+            *(Send("free", index) for index in rest),
+            End(Outcome.FINISHED, ""),
+        )
+    return attempt, ()
+
+
+def _clearing(attempt):
+    waiting = [i for i, member in enumerate(attempt.members) if not member.cleared]
+    if not waiting:
+        return _settle(attempt)
+    return attempt, tuple(Send("free", index) for index in waiting)
+
+
+def _settle(attempt):
+    if not all(member.cleared for member in attempt.members):
+        return attempt, ()
+    outcome = attempt.goal
+    if outcome in (Outcome.NOT_RUN, Outcome.LOST):
+        outcome = Outcome.NOT_RUN if _proven_not_run(attempt) else Outcome.LOST
+    return attempt._replace(phase=Phase.ENDED), (End(outcome, attempt.reason),)
+
+
+def _proven_not_run(attempt):
+    return all(member.cleared in NEVER_STATES for member in attempt.members)
+
+
+def _set(attempt, index, **changes):
+    members = list(attempt.members)
+    members[index] = members[index]._replace(**changes)
+    return attempt._replace(members=tuple(members))
--- /dev/null
+++ b/knapweedshed/decisions/ledger.py
@@ -0,0 +1,209 @@
+"""The fold over a data centre's job stream: what is open, won, refuted and ended.
+
+First by offset wins, in every reader alike; a second copy of a record changes nothing.
+"""
+
+from typing import NamedTuple
+
+from knapweedshed.decisions.homes import key_of
+from knapweedshed.models.jobs import Job
+from knapweedshed.models.ledger import (
+    AttemptRefuted,
+    CancelAsked,
+    Checkpointed,
+    ClosedKey,
+    IntentRecorded,
+    JobAccepted,
+    JobEnded,
+    LedgerSnapshot,
+)
+from knapweedshed.results import ResultCode
+
+SNAPSHOT_PART = 200
+
+
+class OpenJob(NamedTuple):
+    """A job that has not ended."""
+
+    job: Job
+    refuted: int = 0
+    intent: IntentRecorded | None = None
+    tokens: tuple[str, ...] = ()
+    cancelled: bool = False
+
+    @property
+    def attempt(self):
+        """The number of the attempt that may have an intent now."""
+        return self.refuted + 1
+
+
+class JobOpened(NamedTuple):
+    """A job is ours from here on."""
+
+    open_job: OpenJob
+
+
+class IntentWon(NamedTuple):
+    """The first intent for a job's attempt."""
+
+    intent: IntentRecorded
+
+
+class JobChanged(NamedTuple):
+    """An open job has a refuted attempt, a checkpoint or a cancellation."""
+
+    open_job: OpenJob
+
+
+class JobClosed(NamedTuple):
+    """A job has ended."""
+
+    ended: JobEnded
+    organisation: str = ""
+    service: str = ""
+
+
+class Ledger:
+    """The folded stream."""
+
+    def __init__(self):
+        self.through = -1
+        self.open = {}
+        self.closed = {}
+        self._keys = {}
+        self._closed_order = []
+
+    def apply(self, offset, record):
+        """Take in one record; return the facts that it brought."""
+        if offset <= self.through:
+            return ()
+        self.through = offset
+        rule = _RULES.get(type(record))
+        return rule(self, record) if rule else ()
+
+    def take_direct(self, job):
+        """Take a job that came without the log; return the facts."""
+        return self._accept(JobAccepted(job))
+
+    def adopt(self, parts):
+        """Take in a whole snapshot, given as all of its parts; return the facts."""
+        if not parts or parts[0].through <= self.through:
+            return ()
+        facts = []
+        for part in parts:
+            for closed in part.closed:
+                self._remember(closed.job_id, closed.ended)
+            for job in part.open_jobs:
+                facts.extend(self._accept(JobAccepted(job)))
+            for record in (*part.refuted, *part.checkpoints, *part.intents):
+                facts.extend(_RULES[type(record)](self, record))
+        self.through = parts[0].through
+        return tuple(facts)
+
+    def snapshot(self, keep_closed):
+        """Return the `LedgerSnapshot` parts that stand for this fold."""
+        jobs = list(self.open.values())
+        closed = [
+            ClosedKey(job_id, "", self.closed[job_id])
+            for job_id in self._closed_order[-keep_closed:]
+        ]
+        longest = max(len(jobs), len(closed), 1)
+        count = -(-longest // SNAPSHOT_PART)
+        return tuple(
+            self._snapshot_part(index, count, jobs, closed) for index in range(count)
+        )
+
+    def _snapshot_part(self, index, count, jobs, closed):
+        span = slice(index * SNAPSHOT_PART, (index + 1) * SNAPSHOT_PART)
+        here = jobs[span]
+        return LedgerSnapshot(
+            self.through,
+            index,
+            count,
+            tuple(o.job for o in here),
+            tuple(o.intent for o in here if o.intent),
+            tuple(
+                AttemptRefuted(o.job.job_id, number, "snapshot")
+                for o in here
+                for number in range(1, o.refuted + 1)
+            ),
+            tuple(
+                Checkpointed(o.job.job_id, o.attempt, o.tokens)
+                for o in here
+                if o.tokens
+            ),
+            tuple(closed[span]),
+        )
+
+    def _accept(self, record):
+        job = record.job
+        if job.job_id in self.open or job.job_id in self.closed:
+            return ()
+        first = self._keys.setdefault(key_of(job.job_id), job.job_id)
+        if first != job.job_id:
+            reason = f"the key belongs to another submission, {first}"
+            return self._close(JobEnded(job.job_id, ResultCode.KEY_CONFLICT, reason))
+        opened = OpenJob(job)
+        self.open[job.job_id] = opened
+        return (JobOpened(opened),)
+
+    def _intent(self, record):
+        opened = self.open.get(record.job_id)
+        if opened is None or opened.intent is not None:
+            return ()
+        if record.attempt != opened.attempt:
+            return ()
+        self.open[record.job_id] = opened._replace(intent=record)
+        return (IntentWon(record),)
+
+    def _refute(self, record):
+        opened = self.open.get(record.job_id)
+        if opened is None or record.attempt != opened.attempt:
+            return ()
+        changed = opened._replace(refuted=record.attempt, intent=None)
+        return self._change(changed)
+
+    def _checkpoint(self, record):
+        opened = self.open.get(record.job_id)
+        if opened is None or record.attempt != opened.attempt:
+            return ()
+        return self._change(opened._replace(tokens=record.tokens))
+
+    def _cancel(self, record):
+        opened = self.open.get(record.job_id)
+        if opened is None or opened.cancelled:
+            return ()
+        return self._change(opened._replace(cancelled=True))
+
+    def _end(self, record):
+        if record.job_id in self.closed:
+            return ()
+        return self._close(record)
+
+    def _change(self, changed):
+        self.open[changed.job.job_id] = changed
+        return (JobChanged(changed),)
+
+    def _close(self, record):
+        opened = self.open.pop(record.job_id, None)
+        self._remember(record.job_id, record)
+        if opened is None:
+            return (JobClosed(record),)
+        return (JobClosed(record, opened.job.organisation, opened.job.service),)
+
+    def _remember(self, job_id, ended):
+        self._keys.setdefault(key_of(job_id), job_id)
+        if job_id not in self.closed:
+            self._closed_order.append(job_id)
+        self.closed[job_id] = ended
+
+
+_RULES = {
+    JobAccepted: Ledger._accept,
+    IntentRecorded: Ledger._intent,
+    AttemptRefuted: Ledger._refute,
+    Checkpointed: Ledger._checkpoint,
+    CancelAsked: Ledger._cancel,
+    JobEnded: Ledger._end,
+    LedgerSnapshot: lambda ledger, record: (),
+}
--- /dev/null
+++ b/knapweedshed/decisions/recovery.py
@@ -0,0 +1,85 @@
+"""What a scheduler makes of the leases that it finds after its own restart."""
+
+from typing import NamedTuple
+
+from knapweedshed.models.attempts import Attempt, Member, Phase
+from knapweedshed.models.shapes import Placement
+from knapweedshed.models.workers import ENDED_STATES, LeaseState
+
+
+class FoundLease(NamedTuple):
+    """A lease in a worker's report."""
+
+    worker: str
+    lease: object
+
+
+class Recovered(NamedTuple):
+    """What to do: attempts to go on with or to clear, leases to free."""
+
+    adopted: tuple[Attempt, ...] = ()
+    to_clear: tuple[Attempt, ...] = ()
+    to_free: tuple[tuple[str, str], ...] = ()
+
+
+def recover(open_jobs, closed, found, now_ms):
+    """Return `Recovered` from the ledger's open jobs and the found leases.
+
+    `open_jobs` maps job ids to `OpenJob`; `closed` maps ended job ids to `JobEnded`.
+    A gang goes on only if every member runs or has finished; any other is cleared,
+    and its workers' words decide whether it had run.
+    """
+    groups = {}
+    to_free = []
+    for item in found:
+        labels = item.lease.labels
+        if labels.job_id in open_jobs:
+            key = (labels.job_id, labels.attempt)
+            groups.setdefault(key, {})[labels.member] = item
+        elif not _holds_answer(closed.get(labels.job_id), item):
+            to_free.append((item.worker, item.lease.lease_id))
+    adopted = []
+    to_clear = []
+    for (job_id, number), members in sorted(groups.items()):
+        attempt = _attempt(open_jobs[job_id], number, members, now_ms)
+        if attempt.phase == Phase.RUNNING:
+            adopted.append(attempt)
+        else:
+            to_clear.append(attempt)
+    return Recovered(tuple(adopted), tuple(to_clear), tuple(to_free))
+
+
+def _holds_answer(ended, item):
+    if ended is None:
+        return False
+    return ended.answer is not None and ended.answer.task == item.lease.lease_id
+
+
+def _attempt(opened, number, found, now_ms):
+    labels = next(iter(found.values())).lease.labels
+    members = []
+    whole = len(found) == labels.members
+    for index in range(labels.members):
+        item = found.get(index)
+        if item is None:
+            continue
+        lease = item.lease
+        runs = lease.state in (LeaseState.RUNNING, LeaseState.FINISHED)
+        whole = whole and runs
+        members.append(
+            Member(
+                lease.lease_id,
+                Placement(item.worker, tuple(lease.accelerators)),
+                granted=True,
+                loaded=lease.state != LeaseState.EMPTY,
+                released=runs,
+                finished=lease.state == LeaseState.FINISHED,
+                may_run=lease.state in (LeaseState.RUNNING, *ENDED_STATES),
+                lease=lease,
+            )
+        )
+    phase = Phase.RUNNING if whole else Phase.CLEARING
+    needs_intent = not opened.job.idempotent
+    return Attempt(
+        opened.job.job_id, number, tuple(members), needs_intent, phase, since_ms=now_ms
+    )
--- /dev/null
+++ b/knapweedshed/links/platform.py
@@ -0,0 +1,222 @@
+"""What we ask of the outside systems, as abstract base classes.
+
+Another front end to the platform is one new module that registers an adapter with
+`register_platform`. Each method says which promise of ours needs its guarantee, so
+that a weaker system shows as a weaker promise.
+"""
+
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+
+class Refused(NamedTuple):
+    """The other side says that it did nothing, and why."""
+
+    reason: str
+
+
+class NotSent(NamedTuple):
+    """No byte of the request left this process."""
+
+    reason: str
+
+
+class NoAnswer(NamedTuple):
+    """The request may have taken effect; the outcome is unknown."""
+
+    reason: str
+
+
+FAILURES = (Refused, NotSent, NoAnswer)
+
+
+class LogRecord(NamedTuple):
+    """A record to append; `record_id` tells a second copy from a second record."""
+
+    record_id: str
+    body: str
+
+
+class StoredRecord(NamedTuple):
+    """A record as read back."""
+
+    offset: int
+    record_id: str
+    body: str
+
+
+class LogPage(NamedTuple):
+    """Records from the asked offset on; `first_retained` moves up with retention."""
+
+    records: tuple[StoredRecord, ...]
+    next_offset: int
+    first_retained: int
+
+
+class Granted(NamedTuple):
+    """A worker's word that the lease is ours; `fence` only grows at that worker."""
+
+    lease_id: str
+    fence: int
+    incarnation: str
+
+
+class Freed(NamedTuple):
+    """The lease is over and barred; `state` is what it was before.
+
+    `never` means that this incarnation of the worker had not granted it.
+    """
+
+    state: str
+    incarnation: str
+
+
+class Done(NamedTuple):
+    """The command took effect; `detail` is the checkpoint token of a stop."""
+
+    detail: str = ""
+
+
+class RunnerAnswer(NamedTuple):
+    """A runner's whole answer and its load at that moment.
+
+    `failed` tells that the work ran and ended with an error, which `body` names.
+    """
+
+    body: bytes
+    digest: str
+    in_flight: int
+    slots: int
+    failed: bool = False
+
+
+class AnswerPart(NamedTuple):
+    """Bytes of an answer from an offset on."""
+
+    body: bytes
+
+
+class LogService(ABC):
+    """The platform's append-only log."""
+
+    @abstractmethod
+    def append(self, stream, records):
+        """Append `LogRecord`s in order; return the first offset (int) or a failure.
+
+        Needed by promises 5 and 8: one order that all readers see alike. A lost
+        answer (`NoAnswer`) may have appended all, some or none.
+        """
+
+    @abstractmethod
+    def read(self, stream, from_offset, limit, wait_ms):
+        """Return a `LogPage`, waiting up to `wait_ms` for the first record."""
+
+    @abstractmethod
+    def close(self):
+        """Close connections."""
+
+
+class HostList(ABC):
+    """The platform's lagging list of hosts."""
+
+    @abstractmethod
+    def hosts(self):
+        """Return a tuple of `Host`, or a failure."""
+
+    @abstractmethod
+    def close(self):
+        """Close connections."""
+
+
+class WorkerService(ABC):
+    """One worker.
+
+    Promises 2, 4 and 5 need: a lease id is granted at most once, ever, by one
+    incarnation; a lapsed or freed lease refuses every later command; a refusal means
+    that nothing was done. A worker without these can carry idempotent work only.
+    """
+
+    @abstractmethod
+    def grant(self, lease_id, labels, accelerators, term_ms):
+        """Lease accelerators; return `Granted` or a failure."""
+
+    @abstractmethod
+    def start(self, lease_id, program, body, held, checkpoint):
+        """Load a task under a lease; a held one waits for `release`."""
+
+    @abstractmethod
+    def release(self, lease_id):
+        """Let a held task run. Repeating it is harmless."""
+
+    @abstractmethod
+    def stop(self, lease_id, checkpoint):
+        """Stop the task, after a checkpoint if asked; `Done.detail` is its token."""
+
+    @abstractmethod
+    def free(self, lease_id):
+        """End the lease, its task and its answer; return `Freed` or a failure.
+
+        Freeing a lease id that was never granted bars it from being granted later.
+        Promise 4 needs the state before, and the incarnation that vouches for it.
+        """
+
+    @abstractmethod
+    def sync(self, renewals, term_ms, known_version, wait_ms):
+        """Renew leases and return a `WorkerReport` once its version differs."""
+
+    @abstractmethod
+    def answer(self, lease_id, from_byte):
+        """Return `AnswerPart` from `from_byte` to the end, or a failure."""
+
+    @abstractmethod
+    def close(self):
+        """Close connections."""
+
+
+class RunnerService(ABC):
+    """One runner. A refusal means that the call was not run (promise 4)."""
+
+    @abstractmethod
+    def call(self, request_id, program, body, time_left_ms):
+        """Run short idempotent work; return `RunnerAnswer` or a failure."""
+
+    @abstractmethod
+    def close(self):
+        """Close connections."""
+
+
+class Platform(ABC):
+    """Makes the adapters of one platform; addresses are `ip:port`."""
+
+    @abstractmethod
+    def log_service(self, address):
+        """Return a `LogService`."""
+
+    @abstractmethod
+    def host_list(self, address):
+        """Return a `HostList`."""
+
+    @abstractmethod
+    def worker(self, address):
+        """Return a `WorkerService`."""
+
+    @abstractmethod
+    def runner(self, address):
+        """Return a `RunnerService`."""
+
+
+_platforms = {}
+
+
+def register_platform(name, factory):
+    """Make a platform adapter known under the name used in settings."""
+    _platforms[name] = factory
+
+
+def create_platform(name, clock):
+    """Return the platform adapter called `name`; raises ValueError."""
+    factory = _platforms.get(name)
+    if factory is None:
+        known = ", ".join(sorted(_platforms))
+        raise ValueError(f"--platform {name!r}: expected one of {known}")
+    return factory(clock)
--- /dev/null
+++ b/knapweedshed/models/ledger.py
@@ -0,0 +1,100 @@
+"""Records of a data centre's job stream in the platform's log."""
+
+from typing import NamedTuple
+
+from knapweedshed.models.jobs import AnswerLocation, Job
+from knapweedshed.results import ResultCode
+
+
+class JobAccepted(NamedTuple):
+    """A caller's job is ours from here on; the first record for a job id wins."""
+
+    job: Job
+
+
+class InputChunk(NamedTuple):
+    """One part of a job's input, in the data centre's input stream."""
+
+    job_id: str
+    index: int
+    data: bytes
+
+
+class IntentRecorded(NamedTuple):
+    """An attempt may start under exactly these leases; first by offset wins."""
+
+    job_id: str
+    attempt: int
+    intent_id: str
+    lease_ids: tuple[str, ...]
+
+
+class AttemptRefuted(NamedTuple):
+    """Proof that an attempt did not run: its workers said so, lease by lease."""
+
+    job_id: str
+    attempt: int
+    proof: str
+
+
+class Checkpointed(NamedTuple):
+    """A stopped attempt can go on from these tokens, one a member."""
+
+    job_id: str
+    attempt: int
+    tokens: tuple[str, ...]
+
+
+class CancelAsked(NamedTuple):
+    """The caller wants the job no more."""
+
+    job_id: str
+
+
+class JobEnded(NamedTuple):
+    """How a job ended; the first record for a job id wins."""
+
+    job_id: str
+    code: ResultCode
+    reason: str = ""
+    answer: AnswerLocation | None = None
+    wait_ms: int = 0
+    run_ms: int = 0
+    workers: tuple[str, ...] = ()
+
+
+class ClosedKey(NamedTuple):
+    """What a snapshot remembers of an ended job."""
+
+    job_id: str
+    digest: str
+    ended: JobEnded
+
+
+class LedgerSnapshot(NamedTuple):
+    """Open jobs and closed keys, re-appended before retention drops them.
+
+    Part `part` of `parts`; all parts stand for the stream up to `through`.
+    """
+
+    through: int
+    part: int
+    parts: int
+    open_jobs: tuple[Job, ...] = ()
+    intents: tuple[IntentRecorded, ...] = ()
+    refuted: tuple[AttemptRefuted, ...] = ()
+    checkpoints: tuple[Checkpointed, ...] = ()
+    closed: tuple[ClosedKey, ...] = ()
+
+
+RECORDS = (
+    JobAccepted,
+    InputChunk,
+    IntentRecorded,
+    AttemptRefuted,
+    Checkpointed,
+    CancelAsked,
+    JobEnded,
+    ClosedKey,
+    LedgerSnapshot,
+)
--- /dev/null
+++ b/knapweedshed/programs/daemon.py
@@ -0,0 +1,126 @@
+"""What every daemon does alike: flags, settings, logs, signals, exit status."""
+
+import os
+import signal
+import sys
+import threading
+from abc import ABC, abstractmethod
+
+import fire
+
+from knapweedshed import __version__
+from knapweedshed.codecs import text
+from knapweedshed.codecs.catalogue import register_all
+from knapweedshed.context import create_context
+from knapweedshed.logs import create_logger
+from knapweedshed.metrics import create_metrics
+from knapweedshed.settings import SettingsError, describe_settings, load_settings
+from knapweedshed.status import ExitStatus
+
+
+class Daemon(ABC):
+    """A program's actors, built by its factory."""
+
+    @abstractmethod
+    def start(self):
+        """Start the actors."""
+
+    @abstractmethod
+    def close(self):
+        """Stop gracefully: finish what was accepted, then stop the actors."""
+
+    @abstractmethod
+    def dump(self):
+        """Return the process's state as plain values."""
+
+
+def run_daemon(program, summary, specification, create, argv=None):
+    """Run a daemon until SIGTERM or SIGINT; return its exit status.
+
+    SIGUSR1 writes the state dump to standard output. A second SIGTERM leaves at once.
+    """
+    arguments = sys.argv[1:] if argv is None else argv
+    if "--version" in arguments:
+        print(f"{program} {__version__}")
+        return ExitStatus.SUCCESS
+    if "--help" in arguments or "-h" in arguments:
+        print(_help_text(program, summary, specification))
+        return ExitStatus.SUCCESS
+    flags = {}
+
+    def read_flags(**given):
+        flags.update(given)
+
+    fire.Fire(read_flags, command=arguments, name=program)
+    try:
+        settings = load_settings(specification, flags)
+        daemon, logger = _build(program, settings, create)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{program}: {fault}", file=sys.stderr)
+        return ExitStatus.USAGE
+    return _serve(daemon, logger)
+
+
+def _build(program, settings, create):
+    register_all()
+    process_id = settings.process_id or f"{program}@{settings.listen}"
+    logger = create_logger(
+        program, process_id, settings.data_centre, settings.log_level
+    )
+    metrics = create_metrics(settings.statsd, program)
+    context = create_context(settings, logger, metrics, process_id)
+    try:
+        return create(context), logger
+    except (OSError, ValueError) as error:
+        raise SettingsError([f"--listen {settings.listen}: {error}"]) from error
+
+
+def _serve(daemon, logger):
+    stopping = threading.Event()
+    wake = threading.Event()
+    dump_asked = threading.Event()
+
+    def on_stop(signum, frame):
+        if stopping.is_set():
+            os._exit(ExitStatus.INTERRUPTED)
+        stopping.set()
+        wake.set()
+
+    def on_dump(signum, frame):
+        dump_asked.set()
+        wake.set()
+
+    signal.signal(signal.SIGTERM, on_stop)
+    signal.signal(signal.SIGINT, on_stop)
+    signal.signal(signal.SIGUSR1, on_dump)
+    daemon.start()
+    logger.info("started")
+    while not stopping.is_set():
+        wake.wait()
+        wake.clear()
+        if dump_asked.is_set():
+            dump_asked.clear()
+            print(text.dumps(daemon.dump()), flush=True)
+    logger.info("stopping")
+    daemon.close()
+    logger.info("stopped")
+    return ExitStatus.SUCCESS
+
+
+def _help_text(program, summary, specification):
+    return "\n".join(
+        [
+            f"{program}: {summary}",
+            "",
+            f"Usage: {program} --flag value ...",
+            "",
+            "Each flag can be given as KNAPWEEDSHED_<NAME> in the environment too;",
+            "a flag goes before the environment.",
+            "",
+            describe_settings(specification),
+            "",
+            "Signals: SIGTERM drains and stops, a second one stops at once;",
+            "SIGUSR1 writes the state dump to standard output.",
+        ]
+    )
--- a/knapweedshed/settings.py
+++ b/knapweedshed/settings.py
@@ -139,6 +139,11 @@
     return text
 
 
+def _names(text):
+    items = text if isinstance(text, (tuple, list)) else str(text).split(",")
+    return tuple(_name(item) for item in items)
+
+
 def _places(text):
     if not text:
         return ()
@@ -158,6 +163,7 @@
     "level": _level,
     "milliseconds": _milliseconds,
     "name": _name,
+    "names": _names,
     "optional_address": _optional_address,
     "places": _places,
     "text": _text,
