--- /dev/null
+++ b/knapweedshed/controllers/queue.py
@@ -0,0 +1,672 @@
+"""Owns the jobs of a data centre that have not ended, and plans what runs."""
+
+from functools import singledispatchmethod
+from typing import Any, NamedTuple
+
+from knapweedshed.actors import tell
+from knapweedshed.controllers.base import Controller
+from knapweedshed.controllers.membership import SetLeaving, SetReady
+from knapweedshed.controllers.messages import (
+    ActingChanged,
+    AttemptAdopted,
+    AttemptEnded,
+    AttemptStarted,
+    ConfigurationInForce,
+    JobsFolded,
+    LedgerState,
+    LedgerStateAsked,
+    PeerReceived,
+    RecordFact,
+    SendToPeer,
+    StartAttempt,
+    StatusChanged,
+    StopAttempt,
+    TakeDirect,
+    Tick,
+    WorkerCommand,
+    WorkerReported,
+    WorkersKnown,
+)
+from knapweedshed.decisions.health import Health
+from knapweedshed.decisions.inventory import Inventory
+from knapweedshed.decisions.ledger import JobChanged, JobClosed, JobOpened
+from knapweedshed.decisions.planning import create_planner
+from knapweedshed.decisions.prediction import create_prediction
+from knapweedshed.decisions.recovery import FoundLease, recover
+from knapweedshed.models.attempts import Outcome, Phase
+from knapweedshed.models.configuration import Configuration
+from knapweedshed.models.jobs import AnswerLocation, JobState, JobStatus
+from knapweedshed.models.ledger import (
+    AttemptRefuted,
+    CancelAsked,
+    Checkpointed,
+    JobEnded,
+)
+from knapweedshed.models.planning import (
+    Claim,
+    RunningView,
+    Situation,
+    WaitingView,
+)
+from knapweedshed.models.wire import (
+    AskListing,
+    Cancel,
+    DirectAnswer,
+    Listing,
+    SubmitDirect,
+)
+from knapweedshed.results import ResultCode, says_not_run
+
+PLAN_DELAY_MS = 10
+RECOVERY_LIMIT_MS = 8_000
+RECONCILE_TICKS = 10
+RETRY_DELAY_MS = 250
+LONGEST_RETRY_DELAY_MS = 5_000
+MOST_FAILED_ATTEMPTS = 3
+CHECKPOINT_COST_MS = 500
+
+
+class _Plan(NamedTuple):
+    pass
+
+
+class ConnectQueue(NamedTuple):
+    """The actors that the queue controller talks to."""
+
+    attempts: Any
+    ledger: Any
+    watches: Any
+    workers: Any
+    membership: Any
+
+
+class Entry(NamedTuple):
+    """One job that has not ended, as this scheduler sees it.
+
+    `placements` is empty while the job waits.
+    """
+
+    opened: Any
+    since_ms: int
+    number: int
+    not_before_ms: int = 0
+    failed: int = 0
+    retries: int = 0
+    placements: tuple = ()
+    started_ms: int = 0
+    stopping: bool = False
+    borrowed: bool = False
+    direct: bool = False
+
+    @property
+    def job(self):
+        """The job."""
+        return self.opened.job
+
+    @property
+    def kind(self):
+        """What run times are learned by."""
+        return (self.job.organisation, self.job.service)
+
+    @property
+    def reclaimable(self):
+        """Whether a stop keeps every promise."""
+        return self.job.idempotent or self.job.can_checkpoint
+
+
+class QueueController(Controller):
+    """Turns jobs, reports and configuration into plans, while acting and recovered."""
+
+    def __init__(self, context, timer):
+        super().__init__(context)
+        self._timer = timer
+        self._inventory = Inventory()
+        self._planner = create_planner()
+        self._prediction = create_prediction()
+        self._health = Health()
+        self._configuration = Configuration()
+        self._entries = {}
+        self._claims = {}
+        self._acting = False
+        self._recovering_since_ms = 0
+        self._ready = False
+        self._ledger_known = False
+        self._closed = {}
+        self._orphans = set()
+        self._direct = set()
+        self._leaving = False
+        self._ticks = 0
+        self._plan_due = False
+        self._unmet = ()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def connect(self, message: ConnectQueue):
+        """Learn the actors that this one talks to."""
+        self._attempts = message.attempts
+        self._ledger = message.ledger
+        self._watches = message.watches
+        self._workers = message.workers
+        self._membership = message.membership
+
+    @receive.register
+    def leaving(self, message: SetLeaving):
+        """Start nothing more: this process is about to stop."""
+        self._leaving = True
+
+    @receive.register
+    def in_force(self, message: ConfigurationInForce):
+        """Take in the configuration."""
+        self._configuration = message.configuration
+        self._plan_soon()
+
+    @receive.register
+    def workers_known(self, message: WorkersKnown):
+        """Take in which workers there are, and which are leaving."""
+        self._inventory.known(message.hosts, message.leaving)
+        self._plan_soon()
+
+    @receive.register
+    def reported(self, message: WorkerReported):
+        """Take in a worker's report."""
+        self._inventory.reported(message.worker, message.report)
+        if self._acting and not self._ready:
+            self._try_recover()
+        self._plan_soon()
+
+    @receive.register
+    def acting(self, message: ActingChanged):
+        """Begin recovery on taking over; forget attempts on standing down."""
+        self._acting = message.acting
+        self._ready = False
+        if not message.acting:
+            self._stand_down()
+            return
+        self._recovering_since_ms = self._now_ms()
+        tell(self._ledger, LedgerStateAsked(self.actor_ref))
+
+    @receive.register
+    def ledger_state(self, message: LedgerState):
+        """Take in the ledger's state; recovery goes on from it."""
+        self._ledger_known = True
+        self._closed = message.closed
+        for opened in message.open_jobs.values():
+            self._open(opened)
+        self._try_recover()
+
+    @receive.register
+    def folded(self, message: JobsFolded):
+        """Take in the ledger's facts."""
+        for fact in message.facts:
+            if isinstance(fact, JobOpened):
+                self._open(fact.open_job)
+            elif isinstance(fact, JobChanged):
+                self._change(fact.open_job)
+            elif isinstance(fact, JobClosed):
+                self._closed[fact.ended.job_id] = fact.ended
+                self._drop(fact.ended.job_id)
+        self._plan_soon()
+
+    @receive.register
+    def from_peer(self, message: PeerReceived):
+        """Serve cancellations, direct submissions and the worker listing."""
+        asked = message.message
+        if isinstance(asked, Cancel):
+            self._cancel_asked(asked.job_id)
+        elif isinstance(asked, SubmitDirect):
+            self._submit_direct(asked.job, message.connection)
+        elif isinstance(asked, AskListing) and asked.kind == "workers":
+            rows = tuple(self._worker_rows())
+            tell(message.connection, SendToPeer(Listing(asked.ask_id, rows)))
+
+    @receive.register
+    def attempt_started(self, message: AttemptStarted):
+        """Note that all members run."""
+        entry = self._entries.get(message.job_id)
+        if entry is None:
+            return
+        now_ms = self._now_ms()
+        entry = entry._replace(started_ms=now_ms)
+        self._entries[message.job_id] = entry
+        self._context.metrics.timing("job.wait", now_ms - entry.since_ms)
+        self._tell_status(entry, JobState.RUNNING)
+
+    @receive.register
+    def attempt_ended(self, message: AttemptEnded):
+        """End the job, or let it wait for another attempt."""
+        attempt = message.attempt
+        entry = self._entries.get(attempt.job_id)
+        self._inventory.take_back(attempt.job_id)
+        self._claims.pop(attempt.job_id, None)
+        self._plan_soon()
+        if entry is None:
+            return
+        self._learn(entry, attempt)
+        rule = _AFTER[attempt.goal]
+        rule(self, entry, attempt)
+
+    @receive.register
+    def tick(self, message: Tick):
+        """Expire, reconcile and plan."""
+        if not self._acting:
+            return
+        if not self._ready:
+            self._try_recover()
+            return
+        self._expire()
+        self._ticks += 1
+        if self._ticks % RECONCILE_TICKS == 0:
+            self._reconcile()
+        if any(not entry.placements for entry in self._entries.values()):
+            self._plan_soon()
+
+    @receive.register
+    def plan(self, message: _Plan):
+        """Plan once, and carry it out."""
+        self._plan_due = False
+        if not self._acting or not self._ready or self._leaving:
+            return
+        started_ms = self._now_ms()
+        plan = self._planner.plan(self._situation())
+        self._context.metrics.timing("plan", self._now_ms() - started_ms)
+        for refusal in plan.refusals:
+            entry = self._entries[refusal.job_id]
+            self._end(entry, refusal.result.code, refusal.result.reason)
+        for reclaim in plan.reclaims:
+            self._reclaim(reclaim)
+        for launch in plan.launches:
+            self._launch(launch)
+        if plan.unmet != self._unmet:
+            self._unmet = plan.unmet
+            self._context.logger.warning(
+                "guarantees unmet", extra={"unmet": [u._asdict() for u in plan.unmet]}
+            )
+
+    def dump(self):
+        """Return what waits, runs and is known of workers."""
+        return {
+            "acting": self._acting,
+            "ready": self._ready,
+            "waiting": [j for j, e in self._entries.items() if not e.placements],
+            "running": {
+                j: [p.worker for p in e.placements]
+                for j, e in self._entries.items()
+                if e.placements
+            },
+            "unheard": self._inventory.unheard(),
+            "unmet": [unmet._asdict() for unmet in self._unmet],
+            "health": self._health.dump(),
+        }
+
+    def _now_ms(self):
+        return self._context.clock.now_ms()
+
+    def _plan_soon(self):
+        if not self._plan_due:
+            self._plan_due = True
+            self._timer.after(PLAN_DELAY_MS, self.actor_ref, _Plan())
+
+    def _open(self, opened):
+        job = opened.job
+        if job.job_id in self._entries or job.job_id in self._closed:
+            return
+        self._entries[job.job_id] = Entry(
+            opened, self._now_ms(), opened.attempt, direct=job.job_id in self._direct
+        )
+
+    def _change(self, opened):
+        entry = self._entries.get(opened.job.job_id)
+        if entry is None:
+            return
+        number = entry.number if entry.placements else max(entry.number, opened.attempt)
+        entry = entry._replace(opened=opened, number=number)
+        self._entries[opened.job.job_id] = entry
+        if opened.cancelled:
+            self._cancel(entry)
+
+    def _drop(self, job_id):
+        entry = self._entries.pop(job_id, None)
+        self._claims.pop(job_id, None)
+        if entry is not None and entry.placements and self._acting:
+            tell(self._attempts, StopAttempt(job_id, "ended elsewhere", False))
+
+    def _cancel_asked(self, job_id):
+        entry = self._entries.get(job_id)
+        if entry is None or not self._acting:
+            return
+        tell(self._ledger, RecordFact(CancelAsked(job_id)))
+        self._change(entry.opened._replace(cancelled=True))
+
+    def _cancel(self, entry):
+        if not self._acting or not self._ready:
+            return
+        if entry.placements:
+            tell(self._attempts, StopAttempt(entry.job.job_id, "cancelled", False))
+        else:
+            self._end(entry, ResultCode.CANCELLED, "cancelled before it ran")
+
+    def _submit_direct(self, job, connection):
+        taken = self._acting and self._ready and job.idempotent
+        reason = "" if taken else "this scheduler can't take it now"
+        if taken and job.job_id not in self._entries:
+            self._direct.add(job.job_id)
+            tell(self._ledger, TakeDirect(job, connection))
+        answer = DirectAnswer(job.job_id, taken, reason)
+        tell(connection, SendToPeer(answer))
+
+    def _expire(self):
+        wall_ms = self._context.clock.wall_ms()
+        for entry in list(self._entries.values()):
+            if entry.placements:
+                continue
+            if wall_ms > entry.job.deadline_wall_ms:
+                self._end(entry, ResultCode.EXPIRED, "its deadline came before a place")
+            elif entry.opened.cancelled:
+                self._cancel(entry)
+
+    def _try_recover(self):
+        """Take over what runs, once the ledger and all listed workers were heard."""
+        if self._ready or not self._acting:
+            return
+        waited_ms = self._now_ms() - self._recovering_since_ms
+        complete = self._ledger_known and not self._inventory.unheard()
+        complete = complete and bool(self._inventory.names())
+        if not complete and waited_ms < RECOVERY_LIMIT_MS:
+            return
+        self._ready = True
+        tell(self._membership, SetReady())
+        self._context.logger.info(
+            "recovered",
+            extra={
+                "jobs": len(self._entries),
+                "unheard": self._inventory.unheard(),
+                "ledger_known": self._ledger_known,
+            },
+        )
+        self._adopt(initial=True)
+        for entry in list(self._entries.values()):
+            if entry.opened.cancelled:
+                self._cancel(entry)
+        self._plan_soon()
+
+    def _reconcile(self):
+        if self._ledger_known:
+            self._adopt(initial=False)
+
+    def _adopt(self, initial):
+        """Take over leases that belong to no attempt of ours.
+
+        After recovery a lease must be seen twice, as reports lag behind commands.
+        """
+        if not self._ledger_known:
+            return
+        waiting = {
+            job_id: entry.opened
+            for job_id, entry in self._entries.items()
+            if not entry.placements
+        }
+        found = []
+        strangers = set()
+        for worker, report in self._inventory.reports.items():
+            for lease in report.leases:
+                entry = self._entries.get(lease.labels.job_id)
+                if entry is not None and entry.placements:
+                    continue
+                strangers.add(lease.lease_id)
+                if initial or lease.lease_id in self._orphans:
+                    found.append(FoundLease(worker, lease))
+        self._orphans = strangers
+        if not initial:
+            held = {item.lease.labels.job_id for item in found}
+            waiting = {j: o for j, o in waiting.items() if j in held}
+        recovered = recover(waiting, self._closed, found, self._now_ms())
+        for attempt in (*recovered.adopted, *recovered.to_clear):
+            self._adopt_attempt(attempt)
+        for _, lease_id in recovered.to_free:
+            tell(self._workers, WorkerCommand("free", lease_id, "", 0))
+
+    def _adopt_attempt(self, attempt):
+        entry = self._entries[attempt.job_id]
+        placements = tuple(member.placement for member in attempt.members)
+        number = max(entry.number, attempt.number)
+        self._entries[attempt.job_id] = entry._replace(
+            placements=placements, number=number, started_ms=self._now_ms()
+        )
+        self._inventory.give(attempt.job_id, placements)
+        tell(self._attempts, AttemptAdopted(attempt, 0))
+        if attempt.phase == Phase.RUNNING:
+            self._tell_status(self._entries[attempt.job_id], JobState.RUNNING)
+
+    def _stand_down(self):
+        for job_id, entry in list(self._entries.items()):
+            self._inventory.take_back(job_id)
+            self._entries[job_id] = entry._replace(placements=(), stopping=False)
+        self._claims = {}
+
+    def _situation(self):
+        now_ms = self._now_ms()
+        usable = self._health.usable(self._inventory.names(), now_ms)
+        waiting = []
+        running = []
+        for entry in self._entries.values():
+            if entry.placements:
+                running.append(_running_view(entry, now_ms, self._prediction))
+            elif entry.not_before_ms <= now_ms and not entry.opened.cancelled:
+                waiting.append(_waiting_view(entry, self._prediction))
+        claims = tuple(Claim(j, p) for j, p in self._claims.items())
+        known = () if self._inventory.unheard() else self._inventory.listed()
+        return Situation(
+            now_ms,
+            self._context.settings.data_centre,
+            self._inventory.views(usable),
+            tuple(running),
+            tuple(waiting),
+            self._configuration.organisations,
+            claims,
+            known,
+        )
+
+    def _launch(self, launch):
+        entry = self._entries[launch.job_id]
+        self._claims.pop(launch.job_id, None)
+        self._entries[launch.job_id] = entry._replace(
+            placements=launch.placements, started_ms=0, borrowed=launch.borrowed
+        )
+        self._inventory.give(launch.job_id, launch.placements)
+        for place in launch.placements:
+            self._health.probe_started(place.worker)
+        tell(self._attempts, StartAttempt(entry.opened, entry.number, launch))
+        self._tell_status(self._entries[launch.job_id], JobState.STARTING)
+
+    def _reclaim(self, reclaim):
+        self._claims[reclaim.job_id] = reclaim.placements
+        self._context.metrics.count("reclaims", len(reclaim.victims))
+        for job_id in reclaim.victims:
+            entry = self._entries[job_id]
+            if entry.stopping:
+                continue
+            self._entries[job_id] = entry._replace(stopping=True)
+            reason = f"reclaimed for {reclaim.job_id}"
+            stop = StopAttempt(job_id, reason, entry.job.can_checkpoint)
+            tell(self._attempts, stop)
+
+    def _learn(self, entry, attempt):
+        now_ms = self._now_ms()
+        if attempt.goal == Outcome.FINISHED:
+            lease = attempt.members[0].lease
+            if lease is not None:
+                self._prediction.observe(entry.kind, lease.run_ms)
+            for member in attempt.members:
+                self._health.succeeded(member.placement.worker)
+        for member in attempt.members:
+            if member.lease is not None and member.lease.state.value == "failed":
+                self._health.failed(member.placement.worker, now_ms)
+
+    def _after_finished(self, entry, attempt):
+        lease = attempt.members[0].lease
+        worker = attempt.members[0].placement.worker
+        answer = AnswerLocation(
+            worker,
+            self._inventory.address_of(worker),
+            attempt.members[0].lease_id,
+            lease.answer_length,
+            lease.answer_digest,
+        )
+        self._end(entry, ResultCode.OK, "", answer, lease.run_ms)
+
+    def _after_failed(self, entry, attempt):
+        failed = entry.failed + 1
+        if entry.job.idempotent and failed < MOST_FAILED_ATTEMPTS:
+            self._wait_again(entry._replace(failed=failed), attempt)
+            return
+        self._end(entry, ResultCode.FAILED, attempt.reason)
+
+    def _after_stopped(self, entry, attempt):
+        if entry.opened.cancelled:
+            self._end(entry, ResultCode.STOPPED, "cancelled while it ran")
+            return
+        tokens = tuple(member.token for member in attempt.members)
+        if all(tokens):
+            record = Checkpointed(entry.job.job_id, attempt.number, tokens)
+            tell(self._ledger, RecordFact(record))
+            opened = entry.opened._replace(tokens=tokens)
+            self._wait_again(entry._replace(opened=opened), attempt)
+        elif entry.job.idempotent:
+            self._wait_again(entry, attempt)
+        else:
+            self._end(entry, ResultCode.OUTCOME_UNKNOWN, "stopped without a checkpoint")
+
+    def _after_not_run(self, entry, attempt):
+        if attempt.needs_intent:
+            proof = f"every worker says so: {attempt.reason}"
+            refuted = AttemptRefuted(entry.job.job_id, attempt.number, proof)
+            tell(self._ledger, RecordFact(refuted))
+        if entry.opened.cancelled:
+            self._end(entry, ResultCode.CANCELLED, "cancelled before it ran")
+            return
+        self._wait_again(entry, attempt)
+
+    def _after_lost(self, entry, attempt):
+        if entry.opened.cancelled and entry.job.idempotent:
+            self._end(entry, ResultCode.STOPPED, "cancelled while it ran")
+        elif entry.job.idempotent:
+            self._wait_again(entry, attempt)
+        else:
+            self._end(entry, ResultCode.OUTCOME_UNKNOWN, attempt.reason)
+
+    def _wait_again(self, entry, attempt):
+        delay_ms = min(RETRY_DELAY_MS << min(entry.retries, 8), LONGEST_RETRY_DELAY_MS)
+        if attempt.goal in (Outcome.STOPPED,):
+            delay_ms = 0
+        delay_ms += self._context.random.randrange(RETRY_DELAY_MS) if delay_ms else 0
+        self._entries[entry.job.job_id] = entry._replace(
+            placements=(),
+            stopping=False,
+            number=attempt.number + 1,
+            retries=entry.retries + 1,
+            not_before_ms=self._now_ms() + delay_ms,
+        )
+        self._tell_status(self._entries[entry.job.job_id], JobState.WAITING)
+
+    def _end(self, entry, code, reason, answer=None, run_ms=0):
+        job = entry.job
+        wait_ms = max(0, (entry.started_ms or self._now_ms()) - entry.since_ms)
+        workers = tuple(place.worker for place in entry.placements)
+        ended = JobEnded(job.job_id, code, reason, answer, wait_ms, run_ms, workers)
+        self._entries.pop(job.job_id, None)
+        self._claims.pop(job.job_id, None)
+        self._direct.discard(job.job_id)
+        self._closed[job.job_id] = ended
+        self._context.metrics.count(f"job.{code.name.lower()}")
+        self._context.logger.info(
+            "job ended",
+            extra={
+                "job": job.job_id,
+                "organisation": job.organisation,
+                "code": int(code),
+                "reason": reason,
+            },
+        )
+        tell(self._ledger, RecordFact(ended))
+        if entry.direct or not says_not_run(code):
+            status = JobStatus(
+                job.job_id,
+                JobState.ENDED,
+                code,
+                reason,
+                job.organisation,
+                job.service,
+                answer,
+                wait_ms,
+                run_ms,
+                workers,
+            )
+            tell(self._watches, StatusChanged(status))
+
+    def _tell_status(self, entry, state):
+        job = entry.job
+        status = JobStatus(
+            job.job_id,
+            state,
+            ResultCode.PENDING,
+            "",
+            job.organisation,
+            job.service,
+            workers=tuple(place.worker for place in entry.placements),
+        )
+        tell(self._watches, StatusChanged(status))
+
+    def _worker_rows(self):
+        usable = set(self._health.usable(self._inventory.names(), self._now_ms()))
+        for name, report in sorted(self._inventory.reports.items()):
+            yield {
+                "worker": name,
+                "accelerators": report.accelerators,
+                "speed": report.speed,
+                "leases": len(report.leases),
+                "usable": name in usable,
+            }
+
+
+_AFTER = {
+    Outcome.FINISHED: QueueController._after_finished,
+    Outcome.FAILED: QueueController._after_failed,
+    Outcome.STOPPED: QueueController._after_stopped,
+    Outcome.NOT_RUN: QueueController._after_not_run,
+    Outcome.LOST: QueueController._after_lost,
+}
+
+
+def _running_view(entry, now_ms, prediction):
+    job = entry.job
+    elapsed_ms = now_ms - entry.started_ms if entry.started_ms else 0
+    left_ms = prediction.remaining_ms(entry.kind, job.declared_run_ms, elapsed_ms)
+    lost_ms = CHECKPOINT_COST_MS if job.can_checkpoint else elapsed_ms
+    return RunningView(
+        job.job_id,
+        job.organisation,
+        job.shape,
+        entry.placements,
+        entry.started_ms or now_ms,
+        now_ms + left_ms,
+        entry.reclaimable and not entry.stopping,
+        lost_ms * job.shape.total,
+        job.urgency,
+    )
+
+
+def _waiting_view(entry, prediction):
+    job = entry.job
+    return WaitingView(
+        job.job_id,
+        job.organisation,
+        job.shape,
+        job.urgency,
+        entry.since_ms,
+        prediction.total_ms(entry.kind, job.declared_run_ms),
+        entry.reclaimable,
+    )
--- a/knapweedshed/decisions/attempts.py
+++ b/knapweedshed/decisions/attempts.py
@@ -114,9 +114,12 @@
         if event.refused:
             attempt = _set(attempt, event.member, cleared="never")
         return clear(attempt, Outcome.NOT_RUN, f"no lease: {event.reason}")
-    if event.verb == "start" and event.refused and not member.loaded:
-        if attempt.phase == Phase.LOADING:
-            return clear(attempt, Outcome.NOT_RUN, f"start refused: {event.reason}")
+    if not event.verb.startswith("start") or member.loaded:
+        return attempt, ()
+    if not event.refused:
+        return _set(attempt, event.member, in_doubt=True), ()
+    if attempt.phase == Phase.LOADING and not member.in_doubt:
+        return clear(attempt, Outcome.NOT_RUN, f"start refused: {event.reason}")
     return attempt, ()
 
 
--- a/knapweedshed/decisions/configuration.py
+++ b/knapweedshed/decisions/configuration.py
@@ -66,7 +66,7 @@
 
 
 def adopt(fold, configuration):
-    """Return the fold with a snapshot's or peer's configuration, adopted upward only."""
+    """Return the fold with a held configuration, adopted upward only."""
     if configuration.offset <= fold.through:
         return fold
     if configuration.digest != digest_of(configuration.organisations):
--- a/knapweedshed/decisions/ledger.py
+++ b/knapweedshed/decisions/ledger.py
@@ -125,7 +125,7 @@
             tuple(
                 AttemptRefuted(o.job.job_id, number, "snapshot")
                 for o in here
-                for number in range(1, o.refuted + 1)
+                for number in range(1, o.refuted + (0 if o.tokens else 1))
             ),
             tuple(
                 Checkpointed(o.job.job_id, o.attempt, o.tokens)
@@ -167,7 +167,10 @@
         opened = self.open.get(record.job_id)
         if opened is None or record.attempt != opened.attempt:
             return ()
-        return self._change(opened._replace(tokens=record.tokens))
+        changed = opened._replace(
+            refuted=record.attempt, intent=None, tokens=record.tokens
+        )
+        return self._change(changed)
 
     def _cancel(self, record):
         opened = self.open.get(record.job_id)
--- a/knapweedshed/decisions/recovery.py
+++ b/knapweedshed/decisions/recovery.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from knapweedshed.decisions.lease_ids import worker_of
 from knapweedshed.models.attempts import Attempt, Member, Phase
 from knapweedshed.models.shapes import Placement
 from knapweedshed.models.workers import ENDED_STATES, LeaseState
@@ -45,10 +46,31 @@
         if attempt.phase == Phase.RUNNING:
             adopted.append(attempt)
         else:
-            to_clear.append(attempt)
+            to_clear.append(_with_intended(attempt, open_jobs[job_id]))
+    seen = {attempt.job_id for attempt in (*adopted, *to_clear)}
+    for job_id, opened in sorted(open_jobs.items()):
+        if job_id not in seen and opened.intent is not None:
+            nothing = Attempt(
+                job_id, opened.attempt, (), True, Phase.CLEARING, since_ms=now_ms
+            )
+            to_clear.append(_with_intended(nothing, opened))
     return Recovered(tuple(adopted), tuple(to_clear), tuple(to_free))
 
 
+def _with_intended(attempt, opened):
+    """Add the leases that the winning intent names and no report shows."""
+    intent = opened.intent
+    if intent is None or intent.attempt != attempt.number:
+        return attempt
+    found = {member.lease_id for member in attempt.members}
+    missing = tuple(
+        Member(lease_id, Placement(worker_of(lease_id), ()))
+        for lease_id in intent.lease_ids
+        if lease_id not in found
+    )
+    return attempt._replace(members=(*attempt.members, *missing))
+
+
 def _holds_answer(ended, item):
     if ended is None:
         return False
--- /dev/null
+++ b/knapweedshed/filters/admission.py
@@ -0,0 +1,36 @@
+"""Refuses what can't be taken: too large, misshapen, or while this process leaves."""
+
+from knapweedshed.decisions.operator_entries import MOST_MEMBERS
+from knapweedshed.filters.base import Filter, reply_with
+from knapweedshed.models.configuration import ServiceKind
+from knapweedshed.results import Result, ResultCode
+
+MOST_BODY_BYTES = 64 * 1024 * 1024
+
+
+class AdmissionFilter(Filter):
+    """Checks a request by itself."""
+
+    def __init__(self, is_leaving):
+        """`is_leaving` returns whether this process has begun its planned stop."""
+        self._is_leaving = is_leaving
+
+    def enter(self, request):
+        """Return the request, or the reason to refuse it."""
+        result = self._refusal(request)
+        return request if result is None else reply_with(request, result)
+
+    def _refusal(self, request):
+        if self._is_leaving():
+            return Result(ResultCode.LEAVING, "this entry is about to stop")
+        if len(request.body) > MOST_BODY_BYTES:
+            reason = f"the body is larger than {MOST_BODY_BYTES} bytes"
+            return Result(ResultCode.BODY_TOO_LARGE, reason)
+        if request.members == 0:
+            return None
+        if request.service.kind == ServiceKind.RUNNER:
+            return Result(ResultCode.BAD_REQUEST, "short work has no members")
+        if not 1 <= request.members <= MOST_MEMBERS:
+            reason = f"members must be from 1 to {MOST_MEMBERS}"
+            return Result(ResultCode.BAD_REQUEST, reason)
+        return None
--- /dev/null
+++ b/knapweedshed/links/hosts.py
@@ -0,0 +1,36 @@
+"""The link to the platform's host list."""
+
+from functools import singledispatchmethod
+
+from knapweedshed.actors import Actor, tell
+from knapweedshed.controllers.messages import HostsListed, Tick
+from knapweedshed.links.platform import FAILURES
+
+HOSTS_PERIOD_MS = 1_000
+
+
+class HostsLink(Actor):
+    """Reads the list on each tick, and tells its receiver when it came."""
+
+    def __init__(self, context, host_list, receiver):
+        super().__init__(context)
+        self._host_list = host_list
+        self._receiver = receiver
+
+    def on_stop(self):
+        """Close the connection."""
+        self._host_list.close()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def tick(self, message: Tick):
+        """Read the list once."""
+        hosts = self._host_list.hosts()
+        if isinstance(hosts, FAILURES):
+            self._context.metrics.count("hosts.failures")
+            return
+        tell(self._receiver, HostsListed(hosts))
--- a/knapweedshed/links/http_client.py
+++ b/knapweedshed/links/http_client.py
@@ -1,6 +1,7 @@
 """HTTP exchanges that say what is known of their effect."""
 
 from typing import NamedTuple
+from urllib.parse import urlencode
 
 import urllib3
 
@@ -44,14 +45,9 @@
         self._pool.close()
 
     def exchange(self, method, path, body=b"", fields=None, timeout_ms=2_000):
-        """Return a `Response`, `Refused`, `NotSent` or `NoAnswer`."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_used_ms > IDLE_LIMIT_MS:
-            self._drop_connections()
-        self._last_used_ms = now_ms
-        response = self._send(method, path, body, fields, timeout_ms)
+        """Return a `Response` that says OK, `Refused`, `NotSent` or `NoAnswer`."""
+        response = self.request(method, path, body, fields, timeout_ms)
         if not isinstance(response, Response):
-            self._drop_connections()
             return response
         if response.status in (HTTP_REFUSED, HTTP_UNAVAILABLE):
             return Refused(response.body.decode("utf-8", "replace")[:500])
@@ -59,17 +55,33 @@
             return NoAnswer(f"HTTP status {response.status}")
         return response
 
-    def _send(self, method, path, body, fields, timeout_ms):
+    def request(self, method, path, body, fields, timeout_ms, headers=None):
+        """Return a `Response` of any status, `NotSent` or `NoAnswer`."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_used_ms > IDLE_LIMIT_MS:
+            self._drop_connections()
+        self._last_used_ms = now_ms
+        response = self._send(method, path, body, fields, timeout_ms, headers)
+        if not isinstance(response, Response):
+            self._drop_connections()
+        return response
+
+    def _send(self, method, path, body, fields, timeout_ms, headers):
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
             read=(timeout_ms + ANSWER_MARGIN_MS) / MS_PER_SECOND,
         )
         url = path
         if fields:
-            url = f"{path}?{urllib3.request.urlencode(fields)}"
+            url = f"{path}?{urlencode(fields)}"
         try:
             answer = self._pool.urlopen(
-                method, url, body=body, timeout=timeout, preload_content=False
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=False,
             )
             data = answer.read()
             answer.release_conn()
--- /dev/null
+++ b/knapweedshed/links/runners.py
@@ -0,0 +1,42 @@
+"""Links to runners: each caller carries one call at a time."""
+
+from functools import singledispatchmethod
+
+from knapweedshed.actors import Actor, tell
+from knapweedshed.controllers.entry_messages import RunnerCall, RunnerCalled
+
+
+class RunnerCaller(Actor):
+    """Owns one connection to each runner that it has called."""
+
+    def __init__(self, context, platform):
+        super().__init__(context)
+        self._platform = platform
+        self._clients = {}
+
+    def on_stop(self):
+        """Close the connections."""
+        for client in self._clients.values():
+            client.close()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def call(self, message: RunnerCall):
+        """Call a runner, and tell what came of it."""
+        clock = self._context.clock
+        client = self._clients.get(message.address)
+        if client is None:
+            client = self._platform.runner(message.address)
+            self._clients[message.address] = client
+        request = message.request
+        attempt_id = f"{request.request_id}.{request.attempt}"
+        started_ms = clock.now_ms()
+        program = request.service.program
+        outcome = client.call(attempt_id, program, request.body, message.limit_ms)
+        took_ms = clock.now_ms() - started_ms
+        called = RunnerCalled(message, outcome, took_ms, self.actor_ref)
+        tell(message.receiver, called)
--- a/knapweedshed/models/attempts.py
+++ b/knapweedshed/models/attempts.py
@@ -37,7 +37,8 @@
     """One member of the gang under its lease.
 
     `may_run` is set before anything is sent that could make the task run.
-    `cleared` is the state that the worker reported when the lease was ended.
+    `in_doubt` says that a start had no answer. `cleared` is the state that the
+    worker reported when the lease was ended.
     """
 
     lease_id: str
@@ -47,6 +48,7 @@
     released: bool = False
     finished: bool = False
     may_run: bool = False
+    in_doubt: bool = False
     cleared: str = ""
     token: str = ""
     lease: Lease | None = None
