--- a/examples/cluster.py
+++ b/examples/cluster.py
@@ -16,6 +16,7 @@
 ENTRY_OFFSET = 20
 SCHEDULER_OFFSET = 40
 PROXY_OFFSET = 1_000
+LEASE_FLAGS = ("lease_ms", "renew_ms")
 
 
 class Process:
@@ -33,6 +34,11 @@
         """The process's id."""
         return self._popen.pid
 
+    @property
+    def alive(self):
+        """Whether the process runs."""
+        return self._popen is not None and self._popen.poll() is None
+
     def start(self):
         """Start the program."""
         arguments = [str(BINARIES / self.program)]
@@ -82,12 +88,11 @@
         through_proxy=False,
     ):
         self.port = port
+        self.through_proxy = through_proxy
         self.places = places
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         offset = PROXY_OFFSET if through_proxy else 0
-        self.log_address = f"127.0.0.1:{port + offset}"
-        self.hosts_address = f"127.0.0.1:{port + 1 + offset}"
         standin_flags = {
             "listen": f"127.0.0.1:{port}",
             "data_centres": ",".join(places),
@@ -132,36 +137,52 @@
         """Return an entry's state dump."""
         return get_json(f"http://{address}/v1/state")
 
+    def all_ready(self):
+        """Return whether every entry reaches every data centre and is configured."""
+        return all(self._sees_places(address) for address in self.entry_addresses)
+
     def _sees_places(self, address):
         state = self.state(address)
         return set(state["requests"]["reachable"]) == set(self.places)
 
+    def proxy_offset(self, place):
+        """Return what is added to the ports that this data centre's processes use."""
+        if not self.through_proxy:
+            return 0
+        return PROXY_OFFSET * (1 + self.places.index(place))
+
     def _build(self, entries, schedulers, flags):
-        names = []
-        for place_index, place in enumerate(self.places):
-            for index in range(schedulers):
-                number = self.port + SCHEDULER_OFFSET + place_index * 5 + index
-                names.append((place, f"127.0.0.1:{number}"))
-        common = {
-            "log": self.log_address,
-            "hosts": self.hosts_address,
-            "schedulers": ",".join(f"{place}={address}" for place, address in names),
-            **flags,
-        }
-        for index, (place, address) in enumerate(names):
-            own = {"data_centre": place, "listen": address, **common}
-            name = f"scheduler-{place}-{index % schedulers}"
-            self.schedulers.append(
-                Process(name, "knapweedshed-scheduler", own, self.folder)
-            )
+        numbers = [
+            (place, self.port + SCHEDULER_OFFSET + place_index * 5 + index)
+            for place_index, place in enumerate(self.places)
+            for index in range(schedulers)
+        ]
+        for place, number in numbers:
+            own = self._common(place, numbers)
+            own["listen"] = f"127.0.0.1:{number}"
+            own["advertise"] = f"127.0.0.1:{number + self.proxy_offset(place)}"
+            name = f"scheduler-{place}-{(number - self.port) % 5}"
+            program = "knapweedshed-scheduler"
+            self.schedulers.append(Process(name, program, own | flags, self.folder))
         for place_index, place in enumerate(self.places):
             for index in range(entries):
                 number = self.port + ENTRY_OFFSET + place_index * 5 + index
-                own = {"data_centre": place, "listen": f"127.0.0.1:{number}", **common}
+                own = self._common(place, numbers)
+                own["listen"] = f"127.0.0.1:{number}"
                 name = f"entry-{place}-{index}"
-                self.entries.append(
-                    Process(name, "knapweedshed-entry", own, self.folder)
-                )
+                program = "knapweedshed-entry"
+                own = {k: v for k, v in (own | flags).items() if k not in LEASE_FLAGS}
+                self.entries.append(Process(name, program, own, self.folder))
+
+    def _common(self, place, numbers):
+        offset = self.proxy_offset(place)
+        schedulers = [f"{where}=127.0.0.1:{n + offset}" for where, n in numbers]
+        return {
+            "data_centre": place,
+            "log": f"127.0.0.1:{self.port + offset}",
+            "hosts": f"127.0.0.1:{self.port + 1 + offset}",
+            "schedulers": ",".join(schedulers),
+        }
 
 
 def get_json(url, limit_seconds=5):
--- a/knapweedshed/controllers/configuration.py
+++ b/knapweedshed/controllers/configuration.py
@@ -17,6 +17,7 @@
     PeerReceived,
     RecordsRead,
     SendToPeer,
+    Tick,
     UseAppender,
 )
 from knapweedshed.decisions import configuration as folds
@@ -25,6 +26,7 @@
 
 STREAM = "configuration"
 SNAPSHOT_EVERY = 100
+SNAPSHOT_PERIOD_MS = 600_000
 
 
 class Publish(NamedTuple):
@@ -52,6 +54,7 @@
         self._readable = False
         self._acting = False
         self._snapshot_at = -1
+        self._snapshot_ms = context.clock.now_ms()
         self._waiting = {}
 
     @singledispatchmethod
@@ -81,6 +84,14 @@
         self._answer_publishers()
         self._write_snapshot()
 
+    @receive.register
+    def tick(self, message: Tick):
+        """Write a snapshot when the last one grows old, before retention drops it."""
+        if self._held:
+            self._adopt_from_held()
+        if self._snapshot_at >= 0:
+            self._renew_snapshot()
+
     @receive.register
     def unreadable(self, message: LogUnreadable):
         """Note that peers may know more."""
@@ -93,9 +104,12 @@
             held = ConfigurationHeld(self._fold.configuration)
             tell(message.connection, SendToPeer(held))
             return
-        if isinstance(message.message, ConfigurationHeld) and not self._readable:
+        if not isinstance(message.message, ConfigurationHeld):
+            return
+        if self._held or not self._readable:
             before = self._fold
             self._fold = folds.adopt(self._fold, message.message.configuration)
+            self._close_gap()
             self._announce(before)
 
     @receive.register
@@ -142,6 +156,7 @@
             plain = None
         if isinstance(plain, dict) and "snapshot" in plain:
             self._snapshot_at = record.offset
+            self._snapshot_ms = self._context.clock.now_ms()
         if self._held or record.offset > self._fold.through + 1:
             self._held.append((record.offset, plain))
             return
@@ -158,13 +173,20 @@
                 if held.offset >= first - 1:
                     self._fold = folds.adopt(self._fold, held)
                     break
-        if self._fold.through < first - 1:
+        if not self._close_gap():
             self._context.metrics.count("configuration.gap")
             self._context.logger.error("configuration has a gap and no snapshot")
-            return
+
+    def _close_gap(self):
+        """Fold what was held back, once the fold reaches it; return whether it did."""
+        if not self._held:
+            return True
+        if self._fold.through < self._held[0][0] - 1:
+            return False
         held, self._held = self._held, []
         for offset, plain in held:
             self._fold = folds.apply(self._fold, offset, plain)
+        return True
 
     def _announce(self, before):
         if self._fold.stopped and not before.stopped:
@@ -185,11 +207,22 @@
                 del self._waiting[entry_id]
                 waiting.reply.set(decision)
 
+    def _renew_snapshot(self):
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._snapshot_ms >= SNAPSHOT_PERIOD_MS:
+            self._snapshot_at = -1
+            self._write_snapshot()
+
     def _write_snapshot(self):
         through = self._fold.through
-        if not self._acting or through - self._snapshot_at < SNAPSHOT_EVERY:
+        if not self._acting or self._snapshot_at >= through or through < 0:
+            return
+        now_ms = self._context.clock.now_ms()
+        many = through - self._snapshot_at >= SNAPSHOT_EVERY
+        if not many and now_ms - self._snapshot_ms < SNAPSHOT_PERIOD_MS:
             return
         self._snapshot_at = through
+        self._snapshot_ms = now_ms
         body = text.dumps(
             {
                 "schema": SCHEMA_VERSION,
--- a/knapweedshed/controllers/ledger.py
+++ b/knapweedshed/controllers/ledger.py
@@ -17,6 +17,7 @@
     RecordFact,
     RecordsRead,
     TakeDirect,
+    Tick,
     UseAppender,
 )
 from knapweedshed.decisions.ledger import Ledger
@@ -24,6 +25,7 @@
 
 RETRY_MS = 500
 SNAPSHOT_EVERY = 5_000
+SNAPSHOT_PERIOD_MS = 1_800_000
 KEPT_KEYS = 20_000
 
 
@@ -51,6 +53,7 @@
         self._held = []
         self._acting = False
         self._snapshot_at = -1
+        self._snapshot_ms = context.clock.now_ms()
 
     @singledispatchmethod
     def receive(self, message):
@@ -85,6 +88,11 @@
         self._answer_asked()
         self._write_snapshot()
 
+    @receive.register
+    def tick(self, message: Tick):
+        """Write a snapshot when the last one grows old, before retention drops it."""
+        self._write_snapshot()
+
     @receive.register
     def unreadable(self, message: LogUnreadable):
         """Wait: the tail tries again."""
@@ -192,8 +200,13 @@
 
     def _write_snapshot(self):
         through = self._ledger.through
-        if not self._acting or through - self._snapshot_at < SNAPSHOT_EVERY:
+        if not self._acting or through < 0:
+            return
+        now_ms = self._context.clock.now_ms()
+        many = through - self._snapshot_at >= SNAPSHOT_EVERY
+        if not many and now_ms - self._snapshot_ms < SNAPSHOT_PERIOD_MS:
             return
         self._snapshot_at = through
+        self._snapshot_ms = now_ms
         for part in self._ledger.snapshot(KEPT_KEYS):
             self.record_fact(RecordFact(part))
--- a/knapweedshed/controllers/membership.py
+++ b/knapweedshed/controllers/membership.py
@@ -43,8 +43,8 @@
     """This scheduler knows what runs in its data centre."""
 
 
-class AskPeerActs(NamedTuple):
-    """Put into `reply` whether a peer of the data centre acts now."""
+class AskHandedOver(NamedTuple):
+    """Put into `reply` whether a peer acts now, or none is there to take over."""
 
     reply: Any
 
@@ -121,6 +121,7 @@
         self._heard[heartbeat.process_id] = _Heard(heartbeat, now_ms)
         if heartbeat.leaving:
             self._members.leaves(heartbeat.process_id, heartbeat.incarnation)
+        self._settle_acting()
 
     @receive.register
     def tick(self, message: Tick):
@@ -146,9 +147,10 @@
         self._ready = True
 
     @receive.register
-    def peer_acts(self, message: AskPeerActs):
-        """Say whether a peer of the data centre acts now."""
-        message.reply.set(any(c.acting for c in self._peers()))
+    def handed_over(self, message: AskHandedOver):
+        """Say whether a peer acts now, or none is there to take over."""
+        staying = [peer for peer in self._peers() if not peer.leaving]
+        message.reply.set(not staying or any(peer.acting for peer in staying))
 
     def dump(self):
         """Return who is known."""
--- a/knapweedshed/links/inputs.py
+++ b/knapweedshed/links/inputs.py
@@ -9,7 +9,7 @@
 from knapweedshed.digests import digest_of
 from knapweedshed.links.platform import FAILURES
 
-INLINE_LIMIT_BYTES = 32 * 1024
+INLINE_LIMIT_BYTES = 8 * 1024
 CHUNK_BYTES = 512 * 1024
 CACHE_BYTES = 64 * 1024 * 1024
 READ_LIMIT = 20
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -121,6 +121,7 @@
         tell(self._hosts, Tick())
         timer.every(HOSTS_PERIOD_MS, self._hosts, Tick())
         timer.every(HEARTBEAT_MS, self._membership, Tick())
+        timer.every(HEARTBEAT_MS, self._configuration, Tick())
         for ref in (self._requests, self._runners, self._submissions, self._homes):
             timer.every(TICK_MS, ref, Tick())
         self._server.start()
--- a/knapweedshed/programs/scheduler.py
+++ b/knapweedshed/programs/scheduler.py
@@ -10,7 +10,7 @@
 from knapweedshed.controllers.ledger import LedgerController, jobs_stream
 from knapweedshed.controllers.membership import (
     SCHEDULER,
-    AskPeerActs,
+    AskHandedOver,
     ConnectMembership,
     MembershipController,
     SetLeaving,
@@ -34,6 +34,7 @@
 
 TICK_MS = 200
 HEARTBEAT_MS = 1_000
+SNAPSHOT_TICK_MS = 10_000
 HANDOVER_POLL_MS = 100
 
 SETTINGS = (
@@ -99,6 +100,8 @@
         timer.every(HEARTBEAT_MS, self._membership, Tick())
         timer.every(TICK_MS, self._attempts, Tick())
         timer.every(TICK_MS, self._queue, Tick())
+        timer.every(SNAPSHOT_TICK_MS, self._configuration, Tick())
+        timer.every(SNAPSHOT_TICK_MS, self._ledger, Tick())
         self._server.start()
 
     def close(self):
@@ -107,7 +110,8 @@
         tell(self._queue, SetLeaving())
         ask(self._attempts, Draining, limit_ms)
         tell(self._membership, SetLeaving())
-        self._await_handover(limit_ms)
+        if self._peer_addresses():
+            self._await_handover(limit_ms)
         self._server.close()
         self._stop_all([*self._tails, *self._peer_links, *self._actors()])
         self._timer.close()
@@ -135,7 +139,8 @@
         return [
             address
             for place, address in settings.schedulers
-            if place == settings.data_centre and address != settings.listen
+            if place == settings.data_centre
+            and address not in (settings.listen, settings.advertise)
         ]
 
     def _create_switchboard(self):
@@ -185,13 +190,11 @@
 
     def _await_handover(self, limit_ms):
         """Wait until a peer acts, so that renewals never pause."""
-        if not self._peer_addresses():
-            return
         clock = self._context.clock
         end_ms = clock.now_ms() + limit_ms
         pause = threading.Event()
         while clock.now_ms() < end_ms:
-            if ask(self._membership, AskPeerActs):
+            if ask(self._membership, AskHandedOver):
                 return
             pause.wait(HANDOVER_POLL_MS / MS_PER_SECOND)
 
--- a/knapweedshed/programs/standin.py
+++ b/knapweedshed/programs/standin.py
@@ -48,7 +48,9 @@
         self._fronts = {port: LogFront(self._log)}
         hosts = list(self._build_hosts(host, port))
         lag_ms = settings.list_lag_ms
-        self._fronts[port + 1] = HostListFront(context.clock, hosts, lag_ms)
+        self._fronts[port + 1] = HostListFront(
+            context.clock, hosts, lag_ms, self._effects
+        )
         addresses = [f"{host}:{number}" for number in self._fronts]
         self._server = HttpServer(
             addresses, self._handle, settings.threads, context.logger
--- a/knapweedshed/settings.py
+++ b/knapweedshed/settings.py
@@ -37,6 +37,7 @@
     Setting("data_centre", "name", None, "data centre that this process is in"),
     Setting("process_id", "text", "", "name in logs; default: program and port"),
     Setting("listen", "address", None, "ip:port to listen on"),
+    Setting("advertise", "optional_address", "", "ip:port as others know it"),
     Setting("log", "url_address", None, "ip:port of the platform's log service"),
     Setting("hosts", "url_address", None, "ip:port of the platform's host list"),
     Setting("platform", "text", "http", "adapter to the platform, by registry name"),
--- a/knapweedshed/standins/http.py
+++ b/knapweedshed/standins/http.py
@@ -78,14 +78,18 @@
 class HostListFront:
     """The host list's paths; it shows changes only after `lag_ms`."""
 
-    def __init__(self, clock, hosts, lag_ms):
+    def __init__(self, clock, hosts, lag_ms, effects):
         self._clock = clock
         self._lag_ms = lag_ms
         self._hosts = {host.name: host for host in hosts}
         self._changes = []
+        self._effects = effects
 
     def handle(self, call):
-        """Serve the list, and changes to it."""
+        """Serve the list, changes to it, and the effects on all workers."""
+        if call.path == "/effects":
+            rows = [effect._asdict() for effect in list(self._effects)]
+            return json_answer({"rows": rows, "now_ms": self._clock.now_ms()})
         if call.path != "/hosts":
             return NO_SUCH_PATH
         if call.method == "POST":
--- a/knapweedshed/standins/worker.py
+++ b/knapweedshed/standins/worker.py
@@ -91,6 +91,18 @@
     reason: str
 
 
+class Effect(NamedTuple):
+    """A task started or ended on a worker."""
+
+    at_ms: int
+    worker: str
+    job_id: str
+    attempt: int
+    member: int
+    members: int
+    event: str
+
+
 class _Held:
     def __init__(self, message, now_ms):
         self.labels = message.labels
@@ -213,7 +225,6 @@
         held.digest = digest_of(message.answer)
         state = LeaseState.FAILED if message.failed else LeaseState.FINISHED
         self._end(held, state, message.reason)
-        self._effects.append((held.labels.job_id, held.labels.member, "ended"))
         self._changed()
 
     @receive.register
@@ -278,7 +289,7 @@
         held.state = LeaseState.RUNNING
         held.started_ms = self._context.clock.now_ms()
         held.token = object()
-        self._effects.append((held.labels.job_id, held.labels.member, "started"))
+        self._note(held, "started")
         total_ms = tasks.run_ms_of(held.body) / self._speed
         left_ms = 1 if self._fail_all else max(1, total_ms - held.done_ms)
         arguments = (lease_id, held.token, held.program, held.body, self._fail_all)
@@ -302,11 +313,27 @@
         if held.timer is not None:
             held.timer.cancel()
         held.token = None
+        if held.state == LeaseState.RUNNING:
+            self._note(held, state.value)
         held.state = state
         held.reason = reason
         held.ended_ms = self._context.clock.now_ms()
         held.body = b""
 
+    def _note(self, held, event):
+        """Write down an effect: what tests judge the promises by."""
+        labels = held.labels
+        effect = Effect(
+            self._context.clock.now_ms(),
+            self._name,
+            labels.job_id,
+            labels.attempt,
+            labels.member,
+            labels.members,
+            event,
+        )
+        self._effects.append(effect)
+
     def _progress(self, held):
         if held.state != LeaseState.RUNNING:
             return str(held.done_ms)
--- /dev/null
+++ b/tests/steps.py
@@ -0,0 +1,494 @@
+"""What the scenarios' words do and check."""
+
+import signal
+import time
+from collections import Counter, defaultdict
+
+from examples.cluster import get_json
+from knapweedshed.clock import create_clock
+from knapweedshed.links.entry_client import EntryClient
+from knapweedshed.results import ResultCode, says_not_run
+from tests.language import step
+from tests.proxy import Fault
+from tests.world import body_for
+
+LEASE_MS = 4_000
+RENEW_MS = 1_000
+PUBLISH_SECONDS = 17
+
+
+@step(
+    r"a platform with (?P<workers>\d+) workers and (?P<runners>\d+) runners"
+    r" for (?P<places>[\w, ]+), each with (?P<entries>\d+) entr(y|ies)"
+    r" and (?P<schedulers>\d+) schedulers?"
+)
+def platform(world, workers, runners, places, entries, schedulers):
+    names = [name.strip() for name in places.split(" and ")]
+    rack_size = int(workers) // len(names)
+    standin = {
+        "workers": int(workers),
+        "runners": int(runners),
+        "rack_size": rack_size,
+        "threads": 160,
+    }
+    flags = {"lease_ms": LEASE_MS, "renew_ms": RENEW_MS}
+    world.start(names, int(entries), int(schedulers), standin, flags)
+
+
+@step(r"organisation (?P<name>\w+) with no guarantee")
+def organisation_without(world, name):
+    organisation_with(world, name, "")
+
+
+@step(r"organisation (?P<name>\w+) guaranteed (?P<sizes>[\d, ]+) in each data centre")
+def organisation_with(world, name, sizes):
+    row = world.publish(name, [int(size) for size in sizes.split(",") if size.strip()])
+    assert row["code"] == ResultCode.OK, row
+    seen = world.wait(
+        PUBLISH_SECONDS, lambda: in_force_everywhere(world, row["offset"])
+    )
+    assert seen, "not in force everywhere in time"
+
+
+def in_force_everywhere(world, offset):
+    states = [world.cluster.state(a) for a in world.cluster.entry_addresses]
+    return all(state["requests"]["configuration"] >= offset for state in states)
+
+
+@step(
+    r"(?P<who>\w+) submits (?P<count>\d+) (?P<service>\w+) jobs?"
+    r" of (?P<run_ms>\d+) ms( and (?P<rows>\d+) rows)?( at entry (?P<entry>\d+))?"
+)
+def submit(world, who, count, service, run_ms, rows, entry):
+    place = int(entry) if entry else None
+    world.submit(who, service, int(count), int(run_ms), int(rows or 20), place)
+
+
+@step(
+    r"two callers submit the same (?P<service>\w+) job of (?P<who>\w+) at two entries"
+)
+def submit_twice(world, service, who):
+    body = body_for(service, 4_242, 800)
+    key = f"{int(time.time())}-same"
+    last = len(world.cluster.entries) - 1
+    world.submit_body(who, service, body, 0, key)
+    world.submit_body(who, service, body, last, key)
+
+
+@step(r"(?P<who>\w+) submits the body \"(?P<body>.*)\" to (?P<service>\w+)")
+def submit_raw(world, who, body, service):
+    world.submit_body(who, service, body.encode(), limit_ms=20_000)
+
+
+@step(
+    r"(?P<who>\w+) keeps submitting (?P<service>\w+) jobs of (?P<run_ms>\d+) ms,"
+    r" (?P<rate>\d+) a second"
+)
+def load(world, who, service, run_ms, rate):
+    world.load(who, service, int(run_ms), int(rate))
+
+
+@step(r"the submitting ends")
+def end_load(world):
+    world.end_load()
+
+
+@step(r"(?P<seconds>[\d.]+) seconds? pass(es)?")
+def wait(world, seconds):
+    world.wait(float(seconds), lambda: False)
+
+
+@step(r"(?P<count>\d+) members? runs? within (?P<seconds>[\d.]+) s")
+def members_run(world, count, seconds):
+    came = world.wait(float(seconds), lambda: len(world.running()) >= int(count))
+    assert came, f"only {len(world.running())} run"
+
+
+@step(r"every answer is right within (?P<seconds>\d+) s")
+def answers_right(world, seconds):
+    world.wait_outcomes(int(seconds))
+    wrong = [o for o in world.outcomes if not o.right]
+    codes = Counter(o.answered.code.name for o in wrong)
+    reasons = {o.answered.reason for o in wrong}
+    assert not wrong, f"{len(wrong)} wrong: {codes} {reasons}"
+    missing = len(world.started) - len(world.outcomes)
+    assert not missing, f"{missing} of {len(world.started)} have no outcome"
+
+
+@step(r"every caller has an outcome within (?P<seconds>\d+) s")
+def all_have_outcomes(world, seconds):
+    assert world.wait_outcomes(int(seconds)), "some have no outcome"
+
+
+@step(r"each outcome is one of (?P<names>[A-Z_, ]+)")
+def outcomes_among(world, names):
+    allowed = {name.strip() for name in names.split(",")}
+    seen = Counter(o.answered.code.name for o in world.outcomes)
+    reasons = {o.answered.reason for o in world.outcomes}
+    assert set(seen) <= allowed, f"{seen} {reasons}"
+
+
+@step(r"(?P<who>\w+)'s (?P<service>\w+) started within (?P<seconds>[\d.]+) s")
+def started_within(world, who, service, seconds):
+    """Judged by the workers: the job runs, whoever says what of it."""
+    mine = len([r for r in world.effects()[0] if r["event"] == "started"])
+    before = world.marks.get("starts", 0)
+    if mine > before:
+        return
+    came = world.wait(
+        float(seconds),
+        lambda: (
+            len([r for r in world.effects()[0] if r["event"] == "started"]) > before
+        ),
+    )
+    assert came, f"{who}'s {service} did not start"
+
+
+@step(r"what has started is noted")
+def note_starts(world):
+    rows = world.effects()[0]
+    world.marks["starts"] = len([r for r in rows if r["event"] == "started"])
+    world.marks["stops"] = len([r for r in rows if r["event"] == "stopped"])
+
+
+@step(r"no more than (?P<count>\d+) tasks were stopped")
+def stopped_at_most(world, count):
+    rows = world.effects()[0]
+    stops = len([r for r in rows if r["event"] == "stopped"])
+    assert stops - world.marks.get("stops", 0) <= int(count), f"{stops} stopped"
+
+
+@step(r"nothing non-idempotent ran twice")
+def at_most_once(world):
+    starts = Counter()
+    for row in world.effects()[0]:
+        if row["event"] == "started":
+            starts[(row["job_id"], row["member"])] += 1
+    twice = {key: count for key, count in starts.items() if count > 1}
+    assert not twice, f"ran more than once: {twice}"
+
+
+@step(r"what is called not run did not run")
+def not_run_is_true(world):
+    ran = {row["job_id"] for row in world.effects()[0]}
+    lied = [
+        o.answered
+        for o in world.outcomes
+        if says_not_run(o.answered.code)
+        and o.answered.code != ResultCode.KEY_CONFLICT
+        and o.answered.job_id in ran
+    ]
+    assert not lied, f"called not run, but ran: {lied}"
+
+
+@step(r"no part of a gang ran alone for more than one lease")
+def gangs_whole(world):
+    rows, now_ms = world.effects()
+    by_attempt = defaultdict(list)
+    for row in rows:
+        if row["members"] > 1:
+            by_attempt[(row["job_id"], row["attempt"])].append(row)
+    for key, events in by_attempt.items():
+        alone_ms = _longest_alone(events, now_ms)
+        assert alone_ms <= LEASE_MS, f"{key}: a part ran alone for {alone_ms} ms"
+
+
+def _longest_alone(events, now_ms):
+    """Return the longest time in which some but not all members ran or had finished."""
+    members = events[0]["members"]
+    there = set()
+    since = None
+    longest = 0
+    for row in sorted(events, key=lambda r: r["at_ms"]):
+        if since is not None:
+            longest = max(longest, row["at_ms"] - since)
+        if row["event"] in ("started", "finished"):
+            there.add(row["member"])
+        else:
+            there.discard(row["member"])
+        running = {m for m in there if _runs(events, m, row["at_ms"])}
+        alone = running and len(there) < members
+        since = row["at_ms"] if alone else None
+    return max(longest, now_ms - since if since is not None else 0)
+
+
+def _runs(events, member, at_ms):
+    state = None
+    for row in sorted(events, key=lambda r: r["at_ms"]):
+        if row["member"] == member and row["at_ms"] <= at_ms:
+            state = row["event"]
+    return state == "started"
+
+
+@step(r"the acting scheduler of (?P<place>\w+) is killed")
+def kill_acting(world, place):
+    process = world.acting(place)
+    world.marks["killed"] = process
+    process.kill()
+
+
+@step(r"all schedulers are killed and started again")
+def restart_schedulers(world):
+    for process in world.cluster.schedulers:
+        process.kill()
+    for process in world.cluster.schedulers:
+        process.start()
+
+
+@step(r"entry (?P<number>\d+) is killed")
+def kill_entry(world, number):
+    world.cluster.entries[int(number)].kill()
+
+
+@step(r"the acting scheduler of (?P<place>\w+) is paused for (?P<seconds>\d+) s")
+def pause_acting(world, place, seconds):
+    world.pause(world.acting(place), int(seconds))
+
+
+@step(r"every process is restarted in turn")
+def rolling_restart(world):
+    for process in world.cluster.processes:
+        status = process.stop()
+        assert status == 0, f"{process.name} stopped with status {status}"
+        process.start()
+        ready = world.wait(20, lambda: world.cluster.all_ready())
+        assert ready, f"{process.name} did not come back"
+
+
+@step(r"all entries of (?P<place>\w+) are killed and started again")
+def restart_entries(world, place):
+    for process in world.cluster.entries:
+        if process.flags["data_centre"] == place:
+            process.signal(signal.SIGKILL)
+            process.kill()
+            process.start()
+
+
+@step(r"the log goes down")
+def log_down(world):
+    world.set_log_down(True)
+
+
+@step(r"the log is back")
+def log_back(world):
+    world.set_log_down(False)
+
+
+@step(r"the log takes appends but its answers are lost")
+def log_swallows(world):
+    world.proxy.set_fault(world.log_ports(), Fault.SWALLOW_ANSWERS)
+
+
+@step(r"the log's answers arrive again")
+def log_answers(world):
+    world.proxy.set_fault(world.log_ports(), Fault.NONE)
+
+
+@step(r"(?P<place>\w+) is cut off from the platform")
+def cut_platform(world, place):
+    world.proxy.set_fault(world.platform_ports(place), Fault.CUT)
+
+
+@step(r"(?P<place>\w+) is cut off from the other data centres")
+def cut_region(world, place):
+    world.proxy.set_fault(world.region_ports(place), Fault.CUT)
+
+
+@step(r"(?P<place>\w+) is joined again")
+def join(world, place):
+    ports = world.platform_ports(place) + world.region_ports(place)
+    world.proxy.set_fault(ports, Fault.NONE)
+
+
+@step(
+    r"workers? (?P<numbers>[\d, ]+) (?P<how>is cut|swallows? answers|"
+    r"freezes?|loses? its open connections|is reachable again)"
+)
+def worker_fault(world, numbers, how):
+    faults = {
+        "is cut": Fault.CUT,
+        "swallows answers": Fault.SWALLOW_ANSWERS,
+        "swallow answers": Fault.SWALLOW_ANSWERS,
+        "freezes": Fault.FREEZE,
+        "loses its open connections": Fault.SILENCE_OPEN,
+        "lose its open connections": Fault.SILENCE_OPEN,
+        "is reachable again": Fault.NONE,
+    }
+    ports = world.worker_ports([int(n) for n in numbers.split(",")])
+    world.proxy.set_fault(ports, faults[how])
+    if faults[how] == Fault.SILENCE_OPEN:
+        world.proxy.set_fault(ports, Fault.NONE)
+
+
+@step(r"runners (?P<numbers>[\d, ]+) lose their open connections")
+def runners_silent(world, numbers):
+    ports = world.runner_ports([int(n) for n in numbers.split(",")])
+    world.proxy.set_fault(ports, Fault.SILENCE_OPEN)
+    world.proxy.set_fault(ports, Fault.NONE)
+
+
+@step(r"runners (?P<numbers>[\d, ]+) freeze")
+def runners_freeze(world, numbers):
+    ports = world.runner_ports([int(n) for n in numbers.split(",")])
+    world.proxy.set_fault(ports, Fault.FREEZE)
+
+
+@step(r"answers from worker (?P<number>\d+) are cut after (?P<count>\d+) bytes, once")
+def cut_answers(world, number, count):
+    world.proxy.cut_answers_after(world.worker_ports([int(number)]), int(count))
+
+
+@step(r"worker (?P<number>\d+) fails everything")
+def worker_fails(world, number):
+    world.set_worker_fault(int(number), True)
+
+
+@step(r"worker (?P<number>\d+) is listed as (?P<state>live|leaving)")
+def list_worker(world, number, state):
+    world.set_host_state(f"worker-{number}", state)
+    world.marks["leaving_at_ms"] = world.effects()[1]
+
+
+@step(r"nothing started on worker (?P<number>\d+) later than (?P<seconds>\d+) s after")
+def nothing_started(world, number, seconds):
+    limit_ms = world.marks["leaving_at_ms"] + int(seconds) * 1_000
+    late = [
+        row
+        for row in world.effects()[0]
+        if row["worker"] == f"worker-{number}"
+        and row["event"] == "started"
+        and row["at_ms"] > limit_ms
+    ]
+    assert not late, f"started on a leaving worker: {late}"
+
+
+@step(r"tasks started elsewhere than on worker (?P<number>\d+) meanwhile")
+def started_elsewhere(world, number):
+    since = world.marks["leaving_at_ms"] + 5_000
+    rows = [
+        row
+        for row in world.effects()[0]
+        if row["at_ms"] > since
+        and row["event"] == "started"
+        and row["worker"] != f"worker-{number}"
+    ]
+    assert rows, "nothing started at all, so the check says nothing"
+
+
+@step(r"two operators publish (?P<name>\w+) on the same base")
+def race(world, name):
+    last = len(world.cluster.entries) - 1
+    first = world.publish(name, [2], base=-1, entry=0)
+    second = world.publish(name, [4], base=-1, entry=last)
+    world.marks["race"] = (first, second)
+
+
+@step(r"one is accepted and the other is told of the conflict by name")
+def race_decided(world):
+    rows = world.marks["race"]
+    codes = sorted(row["code"] for row in rows)
+    assert codes == [ResultCode.OK, ResultCode.CONFIGURATION_CONFLICT], rows
+    refused = next(row for row in rows if row["code"])
+    assert "racers" in refused["reason"], refused
+
+
+@step(r"a broken entry is refused and changes nothing")
+def broken_entry(world):
+    before = versions(world, 0)
+    row = world.publish_plain(
+        {
+            "schema": 1,
+            "base": {"broken": -1},
+            "parts": {"broken": {"data_centres": ["north"], "share": "many"}},
+        }
+    )
+    assert row["code"] == ResultCode.CONFIGURATION_REFUSED, row
+    assert "share" in row["reason"], row
+    assert versions(world, 0) == before
+
+
+@step(r"retention drops the configuration's first records")
+def drop_records(world):
+    top = max(versions(world, 0).values())
+    world.drop_records("configuration", top - 20)
+
+
+@step(r"retention drops the configuration's records before the last snapshot")
+def drop_to_snapshot(world):
+    url = f"http://127.0.0.1:{world.port}/streams/configuration?from=0&limit=10000"
+    snapshots = [r[0] for r in get_json(url)["records"] if '"snapshot"' in r[2]]
+    assert snapshots, "no snapshot stands in the log"
+    world.drop_records("configuration", snapshots[-1])
+
+
+@step(r"all processes are killed and started again")
+def restart_everything(world):
+    for process in world.cluster.processes:
+        process.kill()
+    for process in world.cluster.processes:
+        process.start()
+
+
+@step(r"(?P<count>\d+) changes of configuration are published")
+def many_changes(world, count):
+    version = -1
+    for number in range(int(count)):
+        row = world.publish("churner", [], base=version, share=1 + number % 7)
+        assert row["code"] == ResultCode.OK, row
+        version = row["offset"]
+
+
+@step(r"every entry has the same configuration as before")
+def same_configuration(world):
+    wanted = world.marks["versions"]
+
+    def agree():
+        numbers = range(len(world.cluster.entries))
+        return all(versions(world, number) == wanted for number in numbers)
+
+    assert world.wait(PUBLISH_SECONDS, agree), "the configuration differs"
+
+
+@step(r"the configuration is noted")
+def note_configuration(world):
+    world.marks["versions"] = versions(world, 0)
+
+
+def versions(world, entry):
+    """Return what is in force at an entry, by organisation."""
+    address = world.cluster.entry_addresses[entry]
+    return get_json(f"http://{address}/v1/configuration")["versions"]
+
+
+@step(r"the (?P<who>\w+) jobs are cancelled")
+def cancel_all(world, who):
+    client = EntryClient(create_clock(), world.cluster.entry_addresses)
+    rows = client.read("GET", "/v1/listings/jobs")[1]["rows"]
+    for row in rows:
+        if row["organisation"] == who:
+            client.cancel(row["job_id"])
+    client.close()
+
+
+@step(r"retries added at most (?P<share>\d+) % to the load")
+def retries_bounded(world, share):
+    retries = total = 0
+    for address in world.cluster.entry_addresses:
+        metrics = world.cluster.state(address)["metrics"]
+        retries += metrics.get("retries", 0)
+    total = len(world.started)
+    allowed = total * int(share) / 100 + 10 * len(world.cluster.entries)
+    assert retries <= allowed, f"{retries} retries for {total} requests"
+
+
+@step(r"at least (?P<share>\d+) % of the answers are right")
+def mostly_right(world, share):
+    right = sum(outcome.right for outcome in world.outcomes)
+    wanted = len(world.started) * int(share) / 100
+    assert right >= wanted, f"{right} of {len(world.started)}"
+
+
+@step(r"the slowest (?P<service>\w+) took at most (?P<seconds>[\d.]+) s")
+def slowest(world, service, seconds):
+    took = max(o.took_ms for o in world.outcomes if o.service == service)
+    assert took <= float(seconds) * 1_000, f"the slowest took {took} ms"
