--- a/knapweedshed/controllers/homes.py
+++ b/knapweedshed/controllers/homes.py
@@ -169,6 +169,8 @@
         if self._ticks % REWATCH_TICKS == 0:
             for job_id in self._watched:
                 self._send_watch(job_id)
+            for message in list(self._direct.values()):
+                self.direct_submit(message)
 
     def dump(self):
         """Return the connections and what is watched."""
--- a/knapweedshed/controllers/membership.py
+++ b/knapweedshed/controllers/membership.py
@@ -225,6 +225,7 @@
         if acting == self._acting:
             return
         self._acting = acting
+        self._ready = False
         self._context.metrics.gauge("acting", int(acting))
         self._context.logger.info("acting changed", extra={"acting": acting})
         for receiver in self._acting_receivers:
--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -27,6 +27,7 @@
     WorkerReported,
     WorkersKnown,
 )
+from knapweedshed.decisions.attempts import NEVER_STATES
 from knapweedshed.decisions.health import Health
 from knapweedshed.decisions.inventory import Inventory
 from knapweedshed.decisions.ledger import JobChanged, JobClosed, JobOpened
@@ -55,15 +56,17 @@
     Listing,
     SubmitDirect,
 )
+from knapweedshed.models.workers import LeaseState
 from knapweedshed.results import ResultCode, says_not_run
 
 PLAN_DELAY_MS = 10
 RECOVERY_LIMIT_MS = 8_000
-RECONCILE_TICKS = 10
+RECONCILE_TICKS = 4
 RETRY_DELAY_MS = 250
 LONGEST_RETRY_DELAY_MS = 5_000
 MOST_FAILED_ATTEMPTS = 3
 CHECKPOINT_COST_MS = 500
+KNOWN_STATES = (*NEVER_STATES, LeaseState.RUNNING.value, LeaseState.STOPPED.value)
 
 
 class _Plan(NamedTuple):
@@ -551,10 +554,14 @@
         self._wait_again(entry, attempt)
 
     def _after_lost(self, entry, attempt):
-        if entry.opened.cancelled and entry.job.idempotent:
+        known = all(member.cleared in KNOWN_STATES for member in attempt.members)
+        if entry.opened.cancelled and (known or entry.job.idempotent):
             self._end(entry, ResultCode.STOPPED, "cancelled while it ran")
         elif entry.job.idempotent:
             self._wait_again(entry, attempt)
+        elif known:
+            reason = f"it had started, and was stopped: {attempt.reason}"
+            self._end(entry, ResultCode.STOPPED, reason)
         else:
             self._end(entry, ResultCode.OUTCOME_UNKNOWN, attempt.reason)
 
--- a/knapweedshed/decisions/configuration.py
+++ b/knapweedshed/decisions/configuration.py
@@ -24,10 +24,18 @@
     parts: tuple[str, ...] = ()
 
 
+def digest_of(organisations):
+    """Return the digest of a configuration's content."""
+    return f"{stable_hash(repr(organisations)):016x}"
+
+
+NOTHING = Configuration(digest=digest_of(()))
+
+
 class Fold(NamedTuple):
     """The configuration in force, what was decided, and why reading stopped."""
 
-    configuration: Configuration = Configuration()
+    configuration: Configuration = NOTHING
     history: tuple[Decision, ...] = ()
     stopped: str = ""
 
@@ -74,11 +82,6 @@
     return Fold(configuration, fold.history, "")
 
 
-def digest_of(organisations):
-    """Return the digest of a configuration's content."""
-    return f"{stable_hash(repr(organisations)):016x}"
-
-
 def check_entry(configuration, plain):
     """Return the result that an entry would have on `configuration`."""
     return _accept(configuration, configuration.offset + 1, plain)[0]
--- a/knapweedshed/decisions/ledger.py
+++ b/knapweedshed/decisions/ledger.py
@@ -6,37 +6,21 @@
 from typing import NamedTuple
 
 from knapweedshed.decisions.homes import key_of
-from knapweedshed.models.jobs import Job
 from knapweedshed.models.ledger import (
     AttemptRefuted,
     CancelAsked,
     Checkpointed,
-    ClosedKey,
     IntentRecorded,
     JobAccepted,
     JobEnded,
     LedgerSnapshot,
+    OpenJob,
 )
 from knapweedshed.results import ResultCode
 
 SNAPSHOT_PART = 200
 
 
-class OpenJob(NamedTuple):
-    """A job that has not ended."""
-
-    job: Job
-    refuted: int = 0
-    intent: IntentRecorded | None = None
-    tokens: tuple[str, ...] = ()
-    cancelled: bool = False
-
-    @property
-    def attempt(self):
-        """The number of the attempt that may have an intent now."""
-        return self.refuted + 1
-
-
 class JobOpened(NamedTuple):
     """A job is ours from here on."""
 
@@ -91,49 +75,40 @@
             return ()
         facts = []
         for part in parts:
-            for closed in part.closed:
-                self._remember(closed.job_id, closed.ended)
-            for job in part.open_jobs:
-                facts.extend(self._accept(JobAccepted(job)))
-            for record in (*part.refuted, *part.checkpoints, *part.intents):
-                facts.extend(_RULES[type(record)](self, record))
+            for ended in part.closed:
+                self._remember(ended)
+            for opened in part.open_jobs:
+                facts.extend(self._adopt_open(opened))
         self.through = parts[0].through
         return tuple(facts)
 
     def snapshot(self, keep_closed):
         """Return the `LedgerSnapshot` parts that stand for this fold."""
-        jobs = list(self.open.values())
-        closed = [
-            ClosedKey(job_id, "", self.closed[job_id])
-            for job_id in self._closed_order[-keep_closed:]
-        ]
-        longest = max(len(jobs), len(closed), 1)
-        count = -(-longest // SNAPSHOT_PART)
-        return tuple(
-            self._snapshot_part(index, count, jobs, closed) for index in range(count)
-        )
-
-    def _snapshot_part(self, index, count, jobs, closed):
-        span = slice(index * SNAPSHOT_PART, (index + 1) * SNAPSHOT_PART)
-        here = jobs[span]
-        return LedgerSnapshot(
-            self.through,
-            index,
-            count,
-            tuple(o.job for o in here),
-            tuple(o.intent for o in here if o.intent),
-            tuple(
-                AttemptRefuted(o.job.job_id, number, "snapshot")
-                for o in here
-                for number in range(1, o.refuted + (0 if o.tokens else 1))
-            ),
-            tuple(
-                Checkpointed(o.job.job_id, o.attempt, o.tokens)
-                for o in here
-                if o.tokens
-            ),
-            tuple(closed[span]),
-        )
+        opened = list(self.open.values())
+        closed = [self.closed[i] for i in self._closed_order[-keep_closed:]]
+        count = -(-max(len(opened), len(closed), 1) // SNAPSHOT_PART)
+        parts = []
+        for index in range(count):
+            span = slice(index * SNAPSHOT_PART, (index + 1) * SNAPSHOT_PART)
+            parts.append(
+                LedgerSnapshot(
+                    self.through,
+                    index,
+                    count,
+                    tuple(opened[span]),
+                    tuple(closed[span]),
+                )
+            )
+        return tuple(parts)
+
+    def _adopt_open(self, opened):
+        job_id = opened.job.job_id
+        if job_id in self.closed:
+            return ()
+        self._keys.setdefault(key_of(job_id), job_id)
+        known = job_id in self.open
+        self.open[job_id] = opened
+        return (JobChanged(opened),) if known else (JobOpened(opened),)
 
     def _accept(self, record):
         job = record.job
@@ -189,16 +164,16 @@
 
     def _close(self, record):
         opened = self.open.pop(record.job_id, None)
-        self._remember(record.job_id, record)
+        self._remember(record)
         if opened is None:
             return (JobClosed(record),)
         return (JobClosed(record, opened.job.organisation, opened.job.service),)
 
-    def _remember(self, job_id, ended):
-        self._keys.setdefault(key_of(job_id), job_id)
-        if job_id not in self.closed:
-            self._closed_order.append(job_id)
-        self.closed[job_id] = ended
+    def _remember(self, ended):
+        self._keys.setdefault(key_of(ended.job_id), ended.job_id)
+        if ended.job_id not in self.closed:
+            self._closed_order.append(ended.job_id)
+        self.closed[ended.job_id] = ended
 
 
 _RULES = {
--- a/knapweedshed/links/hosts.py
+++ b/knapweedshed/links/hosts.py
@@ -6,7 +6,7 @@
 from knapweedshed.controllers.messages import HostsListed, Tick
 from knapweedshed.links.platform import FAILURES
 
-HOSTS_PERIOD_MS = 1_000
+HOSTS_PERIOD_MS = 2_000
 
 
 class HostsLink(Actor):
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -14,7 +14,7 @@
 from knapweedshed.links.platform import FAILURES, LogRecord, NoAnswer
 
 READ_LIMIT = 500
-READ_WAIT_MS = 2_000
+READ_WAIT_MS = 5_000
 RETRY_MS = 400
 BATCH_RECORDS = 200
 BATCH_BYTES = 4_000_000
--- a/knapweedshed/models/ledger.py
+++ b/knapweedshed/models/ledger.py
@@ -63,16 +63,23 @@
     workers: tuple[str, ...] = ()
 
 
-class ClosedKey(NamedTuple):
-    """What a snapshot remembers of an ended job."""
+class OpenJob(NamedTuple):
+    """A job that has not ended, as the fold has it."""
 
-    job_id: str
-    digest: str
-    ended: JobEnded
+    job: Job
+    refuted: int = 0
+    intent: IntentRecorded | None = None
+    tokens: tuple[str, ...] = ()
+    cancelled: bool = False
+
+    @property
+    def attempt(self):
+        """The number of the attempt that may have an intent now."""
+        return self.refuted + 1
 
 
 class LedgerSnapshot(NamedTuple):
-    """Open jobs and closed keys, re-appended before retention drops them.
+    """Open and ended jobs, re-appended before retention drops them.
 
     Part `part` of `parts`; all parts stand for the stream up to `through`.
     """
@@ -80,11 +87,8 @@
     through: int
     part: int
     parts: int
-    open_jobs: tuple[Job, ...] = ()
-    intents: tuple[IntentRecorded, ...] = ()
-    refuted: tuple[AttemptRefuted, ...] = ()
-    checkpoints: tuple[Checkpointed, ...] = ()
-    closed: tuple[ClosedKey, ...] = ()
+    open_jobs: tuple[OpenJob, ...] = ()
+    closed: tuple[JobEnded, ...] = ()
 
 
 RECORDS = (
@@ -95,6 +99,6 @@
     Checkpointed,
     CancelAsked,
     JobEnded,
-    ClosedKey,
+    OpenJob,
     LedgerSnapshot,
 )
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -132,7 +132,9 @@
         tell(self._requests, SetLeaving())
         ask(self._requests, Draining, self._context.settings.drain_ms)
         self._server.close()
-        self._stop_all([self._tail, *self._links, *self._actors()])
+        for ref in (self._tail, *self._links):
+            ref.stop(block=False)
+        self._stop_all(self._actors())
         self._timer.close()
 
     def dump(self):
--- a/knapweedshed/programs/scheduler.py
+++ b/knapweedshed/programs/scheduler.py
@@ -32,7 +32,7 @@
 from knapweedshed.settings import COMMON, Setting
 from knapweedshed.timers import Timer
 
-TICK_MS = 200
+TICK_MS = 500
 HEARTBEAT_MS = 1_000
 SNAPSHOT_TICK_MS = 10_000
 HANDOVER_POLL_MS = 100
@@ -113,7 +113,9 @@
         if self._peer_addresses():
             self._await_handover(limit_ms)
         self._server.close()
-        self._stop_all([*self._tails, *self._peer_links, *self._actors()])
+        for ref in (*self._tails, *self._peer_links):
+            ref.stop(block=False)
+        self._stop_all(self._actors())
         self._timer.close()
 
     def dump(self):
