--- a/knapweedshed/decisions/guarantees.py
+++ b/knapweedshed/decisions/guarantees.py
@@ -1,6 +1,7 @@
 """Guaranteed shapes: who is entitled to what, and whether all of it can be packed."""
 
 from collections import Counter
+from functools import lru_cache
 from typing import NamedTuple
 
 from knapweedshed.decisions.cells import blocks, cell_size
@@ -39,6 +40,7 @@
     return Entitlement(_sorted(cells), tuple(sorted(racks, reverse=True)))
 
 
+@lru_cache(maxsize=65_536)
 def consume(entitlement, shape):
     """Return what is left after `shape` runs guaranteed, or None if not covered.
 
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -97,7 +97,7 @@
         self._used = {}
         self._borrowers = []
         self._reservations = []
-        self._failed = set()
+        self._failed = {}
         self._launches = []
         self._reclaims = []
         self._refusals = []
@@ -176,15 +176,15 @@
         if not covered and not self._may_run_uncovered(job):
             return
         signature = (job.shape, covered, job.reclaimable, job.organisation)
-        if signature in self._failed:
+        if job.predicted_ms >= self._failed.get(signature, job.predicted_ms + 1):
             return
         places = self._find(job, covered)
         if places is not None:
             self._launch(job, places, covered)
             return
         held_back = self._is_held_back(job)
-        if not self._blocked(job, covered) and not held_back:
-            self._failed.add(signature)
+        if not self._blocked(job, covered):
+            self._failed[signature] = job.predicted_ms if held_back else 0
 
     def _never(self, job):
         reason = impossible(job.shape, self._situation.known)
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -129,7 +129,8 @@
             self._timer.after(RETRY_MS, self.actor_ref, _ReadNext())
             return
         self._wait_ms = READ_WAIT_MS
-        self._next = max(self._next, page.next_offset)
+        if page.records:
+            self._next = page.records[-1].offset + 1
         caught_up = len(page.records) < READ_LIMIT
         tell(
             self._receiver,
--- a/knapweedshed/programs/client.py
+++ b/knapweedshed/programs/client.py
@@ -195,7 +195,7 @@
 
 
 def _silent(value):
-    return "" if isinstance(value, ExitStatus) else value
+    return None if isinstance(value, ExitStatus) else value
 
 
 def _read(file):
--- a/knapweedshed/standins/http.py
+++ b/knapweedshed/standins/http.py
@@ -64,13 +64,13 @@
         wait_ms = min(int(call.query.get("wait_ms", 0)), LONGEST_WAIT_MS)
         page = _ask(
             self._ref,
-            lambda reply: log.Read(stream, start, limit, reply),
-            max(wait_ms, 1),
+            lambda reply: log.Read(stream, start, limit, wait_ms > 0, reply),
+            wait_ms or REPLY_TIMEOUT_MS,
         )
         if page == log.REFUSED:
             return _refuse("the log is down", 503)
         if page is None:
-            page = self._ref.proxy().empty_page(stream).get(timeout=5)
+            page = self._ref.proxy().empty_page(stream, start).get(timeout=5)
         records, following, first = page
         return json_answer({"records": records, "next": following, "first": first})
 
@@ -183,7 +183,7 @@
             lambda reply: worker.Sync(
                 tuple(plain["renew"]), plain["term_ms"], plain["version"], reply
             ),
-            max(1, wait_ms),
+            wait_ms or 1,
         )
         if report is None:
             report = self._ref.proxy().report_now().get(timeout=5)
--- a/knapweedshed/standins/log.py
+++ b/knapweedshed/standins/log.py
@@ -17,11 +17,15 @@
 
 
 class Read(NamedTuple):
-    """Read from an offset; `reply` gets (records, next, first)."""
+    """Read from an offset; `reply` gets (records, next, first).
+
+    Past the end a read that `parks` waits for a record; another gets none.
+    """
 
     stream: str
     from_offset: int
     limit: int
+    parks: bool
     reply: Any
 
 
@@ -90,7 +94,7 @@
             return
         stream = self._stream(message.stream)
         start = max(message.from_offset, stream.first)
-        if start >= stream.next:
+        if start >= stream.next and message.parks:
             stream.readers.append(message)
             return
         message.reply.set(self._page(stream, start, message.limit))
@@ -112,10 +116,9 @@
         stream = self._stream(message.stream)
         self._drop(stream, max(0, min(message.offset, stream.next) - stream.first))
 
-    def empty_page(self, name):
+    def empty_page(self, name, from_offset):
         """Return an empty page; called by readers whose wait has ended."""
-        stream = self._stream(name)
-        return (), stream.next, stream.first
+        return (), from_offset, self._stream(name).first
 
     def dump(self):
         """Return the appends so far and each stream's bounds."""
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,139 @@
+"""Links and codecs: what they do when the other side misbehaves."""
+
+import unittest
+
+from knapweedshed.codecs import cbor, text
+from knapweedshed.codecs.catalogue import register_all
+from knapweedshed.context import create_test_context
+from knapweedshed.controllers.messages import (
+    AppendDone,
+    AppendFailed,
+    AppendRecord,
+    RecordsRead,
+)
+from knapweedshed.links import log as links
+from knapweedshed.links.http_client import HttpClient
+from knapweedshed.links.platform import (
+    LogPage,
+    LogService,
+    NoAnswer,
+    NotSent,
+    StoredRecord,
+    create_platform,
+)
+from knapweedshed.models.shapes import Adjacency, Shape
+from knapweedshed.models.wire import Watch
+
+
+class FakeLog(LogService):
+    """Answers from a list."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    def append(self, stream, records):
+        self.asked.append([record.record_id for record in records])
+        return self.answers.pop(0)
+
+    def read(self, stream, from_offset, limit, wait_ms):
+        self.asked.append(from_offset)
+        return self.answers.pop(0)
+
+    def close(self):
+        pass
+
+
+class FakeRef:
+    """Collects what is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def tell(self, message):
+        self.told.append(message)
+
+
+class FakeTimer:
+    """Drops timers."""
+
+    def after(self, delay_ms, receiver, message):
+        pass
+
+
+def without_thread(actor_class, *arguments):
+    """Return an actor that is called directly, in the test's own thread."""
+    actor = actor_class(create_test_context(), *arguments)
+    actor._actor_ref = FakeRef()
+    return actor
+
+
+class LogTailTests(unittest.TestCase):
+    """Reading a stream."""
+
+    def test_an_empty_page_never_moves_the_reader_past_unread_records(self):
+        record = StoredRecord(5, "r", "{}")
+        log = FakeLog([LogPage((), 132, 0), LogPage((record,), 6, 0)])
+        receiver = FakeRef()
+        tail = without_thread(links.LogTail, log, FakeTimer(), "s", receiver)
+        tail.read_next(None)
+        tail.read_next(None)
+        self.assertEqual(log.asked, [0, 0])
+        self.assertEqual(receiver.told[1], RecordsRead("s", (record,), 0, True))
+
+
+class LogAppenderTests(unittest.TestCase):
+    """Appending in batches."""
+
+    def test_what_waits_goes_in_one_append_and_each_learns_its_offset(self):
+        log = FakeLog([7])
+        appender = without_thread(links.LogAppender, log)
+        receiver = FakeRef()
+        for name in ("a", "b"):
+            appender.append(AppendRecord("s", name, "{}", receiver))
+        appender.flush(None)
+        self.assertEqual(log.asked, [["a", "b"]])
+        self.assertEqual(receiver.told, [AppendDone("a", 7), AppendDone("b", 8)])
+
+    def test_a_lost_answer_is_unknown_and_a_refusal_is_not(self):
+        for answer, unknown in ((NoAnswer("lost"), True), (NotSent("down"), False)):
+            appender = without_thread(links.LogAppender, FakeLog([answer]))
+            receiver = FakeRef()
+            appender.append(AppendRecord("s", "a", "{}", receiver))
+            appender.flush(None)
+            self.assertEqual(receiver.told, [AppendFailed("a", unknown, answer.reason)])
+
+
+class CodecTests(unittest.TestCase):
+    """Messages there and back."""
+
+    def setUp(self):
+        register_all()
+
+    def test_a_message_survives_both_encodings(self):
+        shape = Shape(3, 8, Adjacency.RACK)
+        self.assertEqual(cbor.decode(cbor.encode(shape)), shape)
+        self.assertEqual(text.loads_message(text.dumps(shape)), shape)
+
+    def test_unknown_fields_of_a_later_release_are_dropped(self):
+        plain = {"_": "Watch", "job_id": "x", "colour": "red"}
+        self.assertEqual(text.message_from(plain), Watch("x"))
+
+    def test_bytes_that_are_no_message_are_an_error_value(self):
+        with self.assertRaises(cbor.MessageError):
+            cbor.decode(b"\xff\x00")
+        with self.assertRaises(text.TextError):
+            text.loads_message('{"_": "NoSuchMessage"}')
+
+
+class HttpClientTests(unittest.TestCase):
+    """What is known of an exchange's effect."""
+
+    def test_a_closed_port_is_never_sent(self):
+        context = create_test_context()
+        answer = HttpClient(context.clock, "127.0.0.1:1").exchange("GET", "/")
+        self.assertIsInstance(answer, NotSent)
+
+    def test_an_unknown_platform_is_named(self):
+        with self.assertRaisesRegex(ValueError, "expected one of"):
+            create_platform("nowhere", create_test_context().clock)
