Check guarantees against the inventory, bound what is remembered, flush on close

Cause: reading the path against the issues: a check of configuration did not pack guarantees, ended jobs were kept without bound, an entry could close while a response was still being written, and an organisation's limit of waiting jobs was not held. Change: each of the four; a leaving entry sends those who wait for a job on to other entries.

--- a/knapweedshed/controllers/ledger.py
+++ b/knapweedshed/controllers/ledger.py
@@ -26,7 +26,6 @@
 RETRY_MS = 500
 SNAPSHOT_EVERY = 5_000
 SNAPSHOT_PERIOD_MS = 1_800_000
-KEPT_KEYS = 20_000
 
 
 def jobs_stream(data_centre):
@@ -208,5 +207,5 @@
             return
         self._snapshot_at = through
         self._snapshot_ms = now_ms
-        for part in self._ledger.snapshot(KEPT_KEYS):
+        for part in self._ledger.snapshot():
             self.record_fact(RecordFact(part))
--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -30,7 +30,12 @@
 from knapweedshed.decisions.attempts import NEVER_STATES
 from knapweedshed.decisions.health import Health
 from knapweedshed.decisions.inventory import Inventory
-from knapweedshed.decisions.ledger import JobChanged, JobClosed, JobOpened
+from knapweedshed.decisions.ledger import (
+    KEPT_ENDED,
+    JobChanged,
+    JobClosed,
+    JobOpened,
+)
 from knapweedshed.decisions.planning import create_planner
 from knapweedshed.decisions.prediction import create_prediction
 from knapweedshed.decisions.recovery import FoundLease, recover
@@ -210,7 +215,7 @@
             elif isinstance(fact, JobChanged):
                 self._change(fact.open_job)
             elif isinstance(fact, JobClosed):
-                self._closed[fact.ended.job_id] = fact.ended
+                self._remember(fact.ended)
                 self._drop(fact.ended.job_id)
         self._plan_soon()
 
@@ -370,6 +375,23 @@
                 self._end(entry, ResultCode.EXPIRED, "its deadline came before a place")
             elif entry.opened.cancelled:
                 self._cancel(entry)
+        self._end_over_limit()
+
+    def _end_over_limit(self):
+        """End the newest jobs of an organisation that has too many waiting."""
+        waiting = {}
+        for entry in self._entries.values():
+            if not entry.placements:
+                waiting.setdefault(entry.job.organisation, []).append(entry)
+        for name, entries in waiting.items():
+            organisation = self._configuration.organisation(name)
+            if organisation is None or len(entries) <= organisation.max_waiting:
+                continue
+            entries.sort(key=lambda entry: entry.since_ms)
+            reason = f"{name!r} has more than {organisation.max_waiting} waiting"
+            for entry in entries[organisation.max_waiting :]:
+                if entry.opened.intent is None and not entry.retries:
+                    self._end(entry, ResultCode.LIMIT_EXCEEDED, reason)
 
     def _try_recover(self):
         """Take over what runs, once the ledger and all listed workers were heard."""
@@ -587,7 +609,7 @@
         self._entries.pop(job.job_id, None)
         self._claims.pop(job.job_id, None)
         self._direct.discard(job.job_id)
-        self._closed[job.job_id] = ended
+        self._remember(ended)
         self._context.metrics.count(f"job.{code.name.lower()}")
         self._context.logger.info(
             "job ended",
@@ -614,6 +636,11 @@
             )
             tell(self._watches, StatusChanged(status))
 
+    def _remember(self, ended):
+        self._closed[ended.job_id] = ended
+        if len(self._closed) > KEPT_ENDED:
+            del self._closed[next(iter(self._closed))]
+
     def _tell_status(self, entry, state):
         job = entry.job
         status = JobStatus(
@@ -632,6 +659,8 @@
         for name, report in sorted(self._inventory.reports.items()):
             yield {
                 "worker": name,
+                "data_centre": self._context.settings.data_centre,
+                "rack": self._inventory.rack_of(name),
                 "accelerators": report.accelerators,
                 "speed": report.speed,
                 "leases": len(report.leases),
--- a/knapweedshed/controllers/requests.py
+++ b/knapweedshed/controllers/requests.py
@@ -117,8 +117,13 @@
 
     @receive.register
     def set_leaving(self, message: SetLeaving):
-        """Refuse new requests from here on."""
+        """Refuse new requests, and send those who wait for a job to other entries."""
         self._leaving = True
+        for job_id, tracked in self._tracked.items():
+            if tracked.reply.status.code == ResultCode.ACCEPTED:
+                self._tracked[job_id] = tracked._replace(waiters=())
+                for waiter in tracked.waiters:
+                    waiter.set(tracked.reply)
 
     @receive.register
     def submit(self, message: Submit):
--- a/knapweedshed/decisions/configuration.py
+++ b/knapweedshed/decisions/configuration.py
@@ -83,8 +83,8 @@
 
 
 def check_entry(configuration, plain):
-    """Return the result that an entry would have on `configuration`."""
-    return _accept(configuration, configuration.offset + 1, plain)[0]
+    """Return (result, configuration after) that an entry would bring about."""
+    return _accept(configuration, configuration.offset + 1, plain)
 
 
 def _accept(configuration, offset, plain):
--- a/knapweedshed/decisions/inventory.py
+++ b/knapweedshed/decisions/inventory.py
@@ -76,6 +76,11 @@
         host = self._hosts.get(name)
         return host.address if host else ""
 
+    def rack_of(self, name):
+        """Return a worker's rack, or ''."""
+        host = self._hosts.get(name)
+        return host.rack if host else ""
+
     def names(self):
         """Return the names of all listed workers."""
         return sorted(self._hosts)
--- a/knapweedshed/decisions/ledger.py
+++ b/knapweedshed/decisions/ledger.py
@@ -3,6 +3,7 @@
 First by offset wins, in every reader alike; a second copy of a record changes nothing.
 """
 
+from collections import deque
 from typing import NamedTuple
 
 from knapweedshed.decisions.homes import key_of
@@ -19,6 +20,7 @@
 from knapweedshed.results import ResultCode
 
 SNAPSHOT_PART = 200
+KEPT_ENDED = 20_000
 
 
 class JobOpened(NamedTuple):
@@ -55,7 +57,7 @@
         self.open = {}
         self.closed = {}
         self._keys = {}
-        self._closed_order = []
+        self._closed_order = deque()
 
     def apply(self, offset, record):
         """Take in one record; return the facts that it brought."""
@@ -82,10 +84,10 @@
         self.through = parts[0].through
         return tuple(facts)
 
-    def snapshot(self, keep_closed):
+    def snapshot(self):
         """Return the `LedgerSnapshot` parts that stand for this fold."""
         opened = list(self.open.values())
-        closed = [self.closed[i] for i in self._closed_order[-keep_closed:]]
+        closed = [self.closed[i] for i in self._closed_order]
         count = -(-max(len(opened), len(closed), 1) // SNAPSHOT_PART)
         parts = []
         for index in range(count):
@@ -174,6 +176,10 @@
         if ended.job_id not in self.closed:
             self._closed_order.append(ended.job_id)
         self.closed[ended.job_id] = ended
+        if len(self._closed_order) > KEPT_ENDED:
+            oldest = self._closed_order.popleft()
+            del self.closed[oldest]
+            self._keys.pop(key_of(oldest), None)
 
 
 _RULES = {
--- a/knapweedshed/links/callers.py
+++ b/knapweedshed/links/callers.py
@@ -21,10 +21,11 @@
     WaitFor,
 )
 from knapweedshed.decisions.configuration import Decision, check_entry
+from knapweedshed.decisions.planning import check_guarantees
 from knapweedshed.links.http_server import Answer, json_answer
 from knapweedshed.links.platform import Refused
 from knapweedshed.models.requests import Request
-from knapweedshed.results import Result, ResultCode, is_final
+from knapweedshed.results import OK, Result, ResultCode, is_final
 
 REPLY_LIMIT_MS = 3_000
 LONGEST_WAIT_MS = 25_000
@@ -123,9 +124,24 @@
         if isinstance(plain, Result):
             return _refusal(plain)
         configuration, _ = self._history()
-        result = check_entry(configuration, plain)
+        result, after = check_entry(configuration, plain)
+        if result.ok:
+            result = self._check_inventory(after)
         return json_answer({"code": int(result.code), "reason": result.reason})
 
+    def _check_inventory(self, configuration):
+        """Refuse guarantees that the workers in reach can't hold all together."""
+        rows = self._ask(self._actors.homes, lambda r: AskRows("workers", r)) or ()
+        known = {}
+        for row in rows:
+            spot = (row["rack"], row["accelerators"])
+            known.setdefault(row["data_centre"], []).append(spot)
+        for place, spots in sorted(known.items()):
+            reason = check_guarantees(configuration.organisations, place, spots)
+            if reason:
+                return Result(ResultCode.CONFIGURATION_REFUSED, reason)
+        return OK
+
     def publish(self, call):
         """Append an entry, and say what was decided on it."""
         plain = _json_object(call)
--- a/knapweedshed/links/http_server.py
+++ b/knapweedshed/links/http_server.py
@@ -7,11 +7,14 @@
 
 import waitress
 
+from knapweedshed.clock import MS_PER_SECOND
 from knapweedshed.codecs import text
 
 CONNECTION_LIMIT = 1_000
 BODY_LIMIT_BYTES = 128 * 1024 * 1024
 IDLE_CONNECTION_SECONDS = 60
+CLOSE_POLL_MS = 50
+CLOSE_POLLS = 100
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -80,10 +83,19 @@
         self._thread.start()
 
     def close(self):
-        """Stop serving; requests in hand are finished by the worker threads."""
+        """Stop serving, once every response in hand has been sent."""
+        pause = threading.Event()
+        for _ in range(CLOSE_POLLS):
+            if self._is_idle():
+                break
+            pause.wait(CLOSE_POLL_MS / MS_PER_SECOND)
         self._server.close()
         self._thread.join(timeout=2)
 
+    def _is_idle(self):
+        channels = list(getattr(self._server, "active_channels", {}).values())
+        return not any(c.requests or c.total_outbufs_len for c in channels)
+
     def _run(self):
         try:
             self._server.run()
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -195,7 +195,7 @@
         whole = fold_ledger(records)
         part = fold_ledger(records[:cut])
         joined = Ledger()
-        joined.adopt(part.snapshot(1_000))
+        joined.adopt(part.snapshot())
         for offset, record in enumerate(records[cut:], start=cut):
             joined.apply(offset, record)
         self.assertEqual(set(joined.open), set(whole.open))
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -1,5 +1,6 @@
 """Programs: settings, help and exit statuses, as separate processes."""
 
+import json
 import signal
 import socket
 import subprocess
@@ -117,6 +118,18 @@
         self.assertEqual(status, ExitStatus.NOT_RUN)
         self.assertIn(b"CONFLICT", printed)
 
+    def test_guarantees_that_no_inventory_holds_are_refused_when_checked(self):
+        huge = Path(self.folder.name) / "huge.json"
+        shape = {"accelerators": 8}
+        held = [{"data_centre": "tunis", "shape": shape, "count": 50}]
+        part = {"data_centres": ["tunis"], "guarantees": held}
+        entry = {"schema": 1, "base": {"huge": -1}, "parts": {"huge": part}}
+        huge.write_text(json.dumps(entry))
+        status, printed, _ = command(self.entries, "config", "check", str(huge))
+        self.assertEqual(status, ExitStatus.NOT_RUN)
+        self.assertIn(b"huge", printed)
+        self.assertIn(b"doesn't fit", printed)
+
     def test_listings_come_as_json(self):
         for listing in ("jobs", "workers", "organisations"):
             status, printed, errors = command(self.entries, listing, "--json")
