Count claims against guarantees, and let owners pass reservations

A job that waits for reclaimed places did not use its guarantee up, so each step reclaimed for the next job too; and reservations of borrowers held owners back, who then reclaimed elsewhere. Ruled out: the packing check, which turned down no free place in the trace. Change: claims count as running there; reservations bind borrowers only; no job of the same organisation is a victim.

--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -47,17 +47,22 @@
         board = Board(situation.workers)
         launches = []
         refusals = []
+        failed = set()
         for job in self._queueing.order(situation.waiting, situation.now_ms, ()):
             reason = impossible(job.shape, situation.known)
             if reason:
                 refusals.append(_refusal(job, reason))
                 continue
+            if job.shape in failed:
+                continue
             places = self._placement.place(job.shape, board.free, board, board.free)
             if places is not None:
                 board.take(places)
                 launches.append(Launch(job.job_id, places, False))
-            elif not self._skip:
+                continue
+            if not self._skip:
                 break
+            failed.add(job.shape)
         return Plan(tuple(launches), (), tuple(refusals))
 
 
@@ -106,8 +111,8 @@
         self._capacity = Capacity(
             (worker.rack, self._available[worker.name]) for worker in situation.workers
         )
-        for claim in situation.claims:
-            self._withhold(claim.placements)
+        self._covered_claims = set()
+        self._commit_claims()
 
     def run(self):
         """Try the waiting jobs in order."""
@@ -182,7 +187,7 @@
         if places is not None:
             self._launch(job, places, covered)
             return
-        held_back = self._is_held_back(job)
+        held_back = not covered and self._is_held_back(job)
         if not self._blocked(job, covered):
             self._failed[signature] = job.predicted_ms if held_back else 0
 
@@ -210,10 +215,12 @@
             bits = mask(place)
             if free.get(place.worker, 0) & bits != bits:
                 return
-        self._launch(job, claim.placements, self._covers(job))
+        borrowed = job.job_id not in self._covered_claims
+        self._board.take(claim.placements)
+        self._launches.append(Launch(job.job_id, claim.placements, borrowed))
 
     def _find(self, job, covered):
-        usable = self._usable(job)
+        usable = self._usable(job, covered)
         spare = self._available if covered else self._board.free
         if not covered and job.reclaimable:
             return self._placement.place(job.shape, usable, self._board, spare)
@@ -225,11 +232,14 @@
                 usable[place.worker] &= ~mask(place)
         return None
 
-    def _usable(self, job):
+    def _usable(self, job, covered):
+        """Return the masks that a job may use; an owner passes reservations."""
         usable = dict(self._board.free)
         for name, bits in self._withheld.items():
             if name in usable:
                 usable[name] &= ~bits
+        if covered:
+            return usable
         for reservation in self._reservations:
             if reservations.blocks(reservation, job, self._situation.now_ms):
                 for name, bits in reservation.masks.items():
@@ -264,6 +274,25 @@
 
     def _launch(self, job, places, covered):
         self._board.take(places)
+        self._commit(job, places, covered)
+        self._launches.append(Launch(job.job_id, places, not covered))
+
+    def _commit_claims(self):
+        """Count the jobs that wait for reclaimed places as if they ran there."""
+        waiting = {job.job_id: job for job in self._situation.waiting}
+        for claim in self._situation.claims:
+            job = waiting.get(claim.job_id)
+            places = [p for p in claim.placements if p.worker in self._available]
+            self._withhold(places)
+            if job is None:
+                continue
+            covered = self._covers(job)
+            if covered:
+                self._covered_claims.add(job.job_id)
+            self._commit(job, places, covered)
+
+    def _commit(self, job, places, covered):
+        """Count a job against its organisation, and its places as used."""
         if covered:
             self._left[job.organisation] = consume(
                 self._left[job.organisation], job.shape
@@ -272,7 +301,6 @@
             self._occupy(places)
         if job.organisation in self._used:
             self._used[job.organisation] += job.shape.total
-        self._launches.append(Launch(job.job_id, places, not covered))
 
     def _is_held_back(self, job):
         now_ms = self._situation.now_ms
@@ -295,14 +323,17 @@
             running
             for running in self._borrowers
             if running.job_id not in taken
+            and running.organisation != job.organisation
             and (covered or running.urgency == Urgency.BATCH)
         ]
-        victims = choose_victims(job.shape, self._usable(job), borrowers, self._board)
+        usable = self._usable(job, covered)
+        victims = choose_victims(job.shape, usable, borrowers, self._board)
         if victims is None:
             return False
         if not self._keeps_guarantees(job, victims.placements, covered):
             return False
         self._withhold(victims.placements)
+        self._commit(job, victims.placements, covered)
         self._reclaims.append(Reclaim(job.job_id, victims.job_ids, victims.placements))
         return True
 
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -182,6 +182,19 @@
         made = plan([worker("a")], (), wait, (owner(8), BORROWER), (claim,))
         self.assertEqual([launch.job_id for launch in made.launches], ["mine"])
 
+    def test_a_job_that_waits_for_reclaimed_places_uses_its_guarantee_up(self):
+        run = [
+            running("b1", "borrower", Shape(1, 4), (place("a", 0, 1, 2, 3),)),
+            running("b2", "borrower", Shape(1, 4), (place("a", 4, 5, 6, 7),)),
+        ]
+        claim = Claim("first", (place("a", 0, 1, 2, 3),))
+        wait = [
+            waiting("first", "owner", Shape(1, 4)),
+            waiting("second", "owner", Shape(1, 4)),
+        ]
+        made = plan([worker("a", 0)], run, wait, (owner(4), BORROWER), (claim,))
+        self.assertEqual(made.reclaims, ())
+
     def test_an_impossible_shape_is_refused_with_its_reason(self):
         wait = [waiting("huge", "owner", Shape(3, 8))]
         made = plan([worker("a"), worker("b")], (), wait, (owner(8),))
