--- a/knapweedshed/controllers/runners.py
+++ b/knapweedshed/controllers/runners.py
@@ -14,6 +14,7 @@
 )
 from knapweedshed.controllers.messages import RunnersKnown, Tick
 from knapweedshed.decisions.health import Health
+from knapweedshed.decisions.overload import WaitingLimit
 from knapweedshed.decisions.prediction import create_prediction
 from knapweedshed.decisions.routing import RunnerView, create_routing, smoothed
 from knapweedshed.decisions.short_queue import ShortQueue, ShortRequest
@@ -21,7 +22,6 @@
 from knapweedshed.models.workers import Host
 from knapweedshed.results import Result, ResultCode
 
-MOST_WAITING = 4_000
 REFUSED_PAUSE_MS = 25
 SHORTEST_TRY_MS = 2_000
 TRY_FACTOR = 6
@@ -47,7 +47,8 @@
         self._timer = timer
         self._requests = requests
         self._idle = list(callers)
-        self._queue = ShortQueue(MOST_WAITING)
+        self._limit = WaitingLimit()
+        self._queue = ShortQueue(self._limit.most)
         self._waiting = {}
         self._runners = {}
         self._routing = create_routing()
@@ -83,6 +84,7 @@
             request.deadline_ms,
         )
         self._waiting[request.request_id] = request
+        self._queue.set_most(self._limit.most)
         shed = self._queue.push(waiting)
         if shed is not None:
             self._give_up(shed, ResultCode.OVERLOADED, "shed for more urgent work")
@@ -98,6 +100,7 @@
         if isinstance(outcome, Refused):
             self._wait_again(call.request)
         else:
+            self._limit.ended(self._context.clock.now_ms())
             self._note_health(call, outcome, message.took_ms)
             request = call.request
             ended = ShortEnded(
--- a/knapweedshed/decisions/short_queue.py
+++ b/knapweedshed/decisions/short_queue.py
@@ -35,6 +35,7 @@
     def __init__(self, most):
         self._most = most
         self._waiting = SortedKeyList(key=_order)
+        self._deadlines = SortedKeyList(key=_deadline)
         self._by_id = {}
         self._virtual = 0.0
         self._spent = {}
@@ -42,6 +43,10 @@
     def __len__(self):
         return len(self._waiting)
 
+    def set_most(self, most):
+        """Set how many requests may wait from the next one on."""
+        self._most = most
+
     def push(self, request):
         """Add a request; return the request that is shed for it, or None."""
         spent = max(self._virtual, self._spent.get(request.organisation, 0.0))
@@ -76,19 +81,26 @@
 
     def expired(self, now_ms):
         """Remove and return the requests whose deadline has passed."""
-        late = [r for r in self._waiting if r.deadline_ms <= now_ms]
-        for request in late:
-            self._remove(request)
+        late = []
+        while self._deadlines and self._deadlines[0].deadline_ms <= now_ms:
+            late.append(self._deadlines[0])
+            self._remove(self._deadlines[0])
         return late
 
     def _add(self, request):
         self._waiting.add(request)
+        self._deadlines.add(request)
         self._by_id[request.request_id] = request
 
     def _remove(self, request):
         self._waiting.remove(request)
+        self._deadlines.remove(request)
         del self._by_id[request.request_id]
 
 
 def _order(request):
     return (request.rank, request.tag, request.request_id)
+
+
+def _deadline(request):
+    return (request.deadline_ms, request.request_id)
