Let urgent work and owners reclaim from every borrower

Cause: urgent work waited up to 11.3 s at the crest, as it could take places from batch work only. Change: any borrower that is not urgent may be stopped, another organisation's first; a gang's size no longer counts against its response ratio.

--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -322,12 +322,13 @@
         borrowers = [
             running
             for running in self._borrowers
-            if running.job_id not in taken
-            and running.organisation != job.organisation
-            and (covered or running.urgency == Urgency.BATCH)
+            if running.job_id not in taken and running.urgency != Urgency.URGENT
         ]
         usable = self._usable(job, covered)
-        victims = choose_victims(job.shape, usable, borrowers, self._board)
+        others = [r for r in borrowers if r.organisation != job.organisation]
+        victims = choose_victims(job.shape, usable, others, self._board)
+        if victims is None:
+            victims = choose_victims(job.shape, usable, borrowers, self._board)
         if victims is None:
             return False
         if not self._keeps_guarantees(job, victims.placements, covered):
--- a/knapweedshed/decisions/queueing.py
+++ b/knapweedshed/decisions/queueing.py
@@ -41,15 +41,15 @@
 class ResponseRatio(QueuePolicy):
     """Urgent first, then covered by a guarantee, then by highest response ratio.
 
-    The ratio is (wait + work) / work with work = predicted time times accelerators:
-    small work passes large work, but a wait that is long for its work goes first.
+    The ratio is wait to predicted time: short work passes long work, but a wait that is
+    long for its work goes first, and a gang's size doesn't count against it.
     """
 
     def order(self, waiting, now_ms, covered):
         """Return the jobs in that order."""
 
         def key(job):
-            work = max(1, job.predicted_ms) * job.shape.total
+            work = max(1, job.predicted_ms)
             ratio = max(0, now_ms - job.since_ms) / work
             urgent = 0 if URGENCY_RANK[job.urgency] == 0 else 1
             return (urgent, job.job_id not in covered, -ratio, work, job.job_id)
--- a/scripts/measure_jobs.py
+++ b/scripts/measure_jobs.py
@@ -251,6 +251,7 @@
     def _launch(self, launch):
         job = self._waiting.pop(launch.job_id)
         self._claims.pop(launch.job_id, None)
+        self._covered_since.pop(job.organisation, None)
         for place in launch.placements:
             bits = mask_of(place.accelerators)
             assert self._free[place.worker] & bits == bits, "given twice"
@@ -329,7 +330,10 @@
         self._account_guarantees(passed_ms)
 
     def _account_guarantees(self, passed_ms):
-        """Count the time in which covered demand waits beyond the reclaim bound."""
+        """Count the time in which covered demand waits beyond the reclaim bound.
+
+        It counts from when the demand came or the organisation last got something.
+        """
         running = [self._running_view(run) for run in self._running.values()]
         for organisation in ORGANISATIONS:
             mine = [r for r in running if r.organisation == organisation.name]
