--- a/knapweedshed/decisions/queueing.py
+++ b/knapweedshed/decisions/queueing.py
@@ -42,22 +42,17 @@
     """Urgent first, then covered by a guarantee, then by highest response ratio.
 
     The ratio is wait to predicted time: short work passes long work, but a wait that is
-    long for its work goes first, and a gang's size doesn't count against it. The gang
-    that has waited longest goes before the rest, so that the first reservation is its.
+    long for its work goes first, and a gang's size doesn't count against it.
     """
 
     def order(self, waiting, now_ms, covered):
         """Return the jobs in that order."""
 
-        gangs = [job for job in waiting if job.shape.members > 1]
-        oldest = min(gangs, key=lambda job: (job.since_ms, job.job_id), default=None)
-
         def key(job):
             work = max(1, job.predicted_ms)
             ratio = max(0, now_ms - job.since_ms) / work
             urgent = 0 if URGENCY_RANK[job.urgency] == 0 else 1
-            uncovered = job.job_id not in covered
-            return (urgent, uncovered, job is not oldest, -ratio, work, job.job_id)
+            return (urgent, job.job_id not in covered, -ratio, work, job.job_id)
 
         return sorted(waiting, key=key)
 
