--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -27,9 +27,12 @@
     WorkerReported,
     WorkersKnown,
 )
-from knapweedshed.decisions.attempts import NEVER_STATES
-from knapweedshed.decisions.health import Health
-from knapweedshed.decisions.inventory import Inventory
+from knapweedshed.decisions.data_centre import DataCentre
+from knapweedshed.decisions.endings import judge
+from knapweedshed.decisions.entries import (
+    Entry,
+    status_of,
+)
 from knapweedshed.decisions.ledger import (
     KEPT_ENDED,
     JobChanged,
@@ -37,23 +40,14 @@
     JobOpened,
 )
 from knapweedshed.decisions.planning import create_planner
-from knapweedshed.decisions.prediction import create_prediction
 from knapweedshed.decisions.recovery import FoundLease, recover
 from knapweedshed.models.attempts import Outcome, Phase
 from knapweedshed.models.configuration import Configuration
-from knapweedshed.models.jobs import AnswerLocation, JobState, JobStatus
+from knapweedshed.models.jobs import AnswerLocation, JobState
 from knapweedshed.models.ledger import (
-    AttemptRefuted,
     CancelAsked,
-    Checkpointed,
     JobEnded,
 )
-from knapweedshed.models.planning import (
-    Claim,
-    RunningView,
-    Situation,
-    WaitingView,
-)
 from knapweedshed.models.wire import (
     AskListing,
     Cancel,
@@ -61,7 +55,6 @@
     Listing,
     SubmitDirect,
 )
-from knapweedshed.models.workers import LeaseState
 from knapweedshed.results import ResultCode, says_not_run
 
 PLAN_DELAY_MS = 10
@@ -69,9 +62,6 @@
 RECONCILE_TICKS = 4
 RETRY_DELAY_MS = 250
 LONGEST_RETRY_DELAY_MS = 5_000
-MOST_FAILED_ATTEMPTS = 3
-CHECKPOINT_COST_MS = 500
-KNOWN_STATES = (*NEVER_STATES, LeaseState.RUNNING.value, LeaseState.STOPPED.value)
 
 
 class _Plan(NamedTuple):
@@ -88,50 +78,15 @@
     membership: Any
 
 
-class Entry(NamedTuple):
-    """One job that has not ended, as this scheduler sees it.
-
-    `placements` is empty while the job waits.
-    """
-
-    opened: Any
-    since_ms: int
-    number: int
-    not_before_ms: int = 0
-    failed: int = 0
-    retries: int = 0
-    placements: tuple = ()
-    started_ms: int = 0
-    stopping: bool = False
-    borrowed: bool = False
-    direct: bool = False
-
-    @property
-    def job(self):
-        """The job."""
-        return self.opened.job
-
-    @property
-    def kind(self):
-        """What run times are learned by."""
-        return (self.job.organisation, self.job.service)
-
-    @property
-    def reclaimable(self):
-        """Whether a stop keeps every promise."""
-        return self.job.idempotent or self.job.can_checkpoint
-
-
 class QueueController(Controller):
     """Turns jobs, reports and configuration into plans, while acting and recovered."""
 
     def __init__(self, context, timer):
         super().__init__(context)
         self._timer = timer
-        self._inventory = Inventory()
+        self._data_centre = DataCentre(context.settings.data_centre)
+        self._inventory = self._data_centre.inventory
         self._planner = create_planner()
-        self._prediction = create_prediction()
-        self._health = Health()
         self._configuration = Configuration()
         self._entries = {}
         self._claims = {}
@@ -228,7 +183,7 @@
         elif isinstance(asked, SubmitDirect):
             self._submit_direct(asked.job, message.connection)
         elif isinstance(asked, AskListing) and asked.kind == "workers":
-            rows = tuple(self._worker_rows())
+            rows = self._data_centre.rows(self._now_ms())
             tell(message.connection, SendToPeer(Listing(asked.ask_id, rows)))
 
     @receive.register
@@ -248,14 +203,25 @@
         """End the job, or let it wait for another attempt."""
         attempt = message.attempt
         entry = self._entries.get(attempt.job_id)
-        self._inventory.take_back(attempt.job_id)
+        self._data_centre.ended(entry, attempt, self._now_ms())
         self._claims.pop(attempt.job_id, None)
         self._plan_soon()
         if entry is None:
             return
-        self._learn(entry, attempt)
-        rule = _AFTER[attempt.goal]
-        rule(self, entry, attempt)
+        verdict = judge(entry.opened, attempt, entry.failed)
+        if verdict.record is not None:
+            tell(self._ledger, RecordFact(verdict.record))
+        if verdict.code is None:
+            opened = entry.opened
+            if verdict.tokens:
+                opened = opened._replace(tokens=verdict.tokens)
+            failed = entry.failed + verdict.failed
+            self._wait_again(entry._replace(opened=opened, failed=failed), attempt)
+        elif verdict.code == ResultCode.OK:
+            run_ms = attempt.members[0].lease.run_ms
+            self._end(entry, verdict.code, "", self._answer_of(attempt), run_ms)
+        else:
+            self._end(entry, verdict.code, verdict.reason)
 
     @receive.register
     def tick(self, message: Tick):
@@ -279,7 +245,14 @@
         if not self._acting or not self._ready or self._leaving:
             return
         started_ms = self._now_ms()
-        plan = self._planner.plan(self._situation())
+        plan = self._planner.plan(
+            self._data_centre.situation(
+                started_ms,
+                self._entries.values(),
+                self._claims,
+                self._configuration.organisations,
+            )
+        )
         self._context.metrics.timing("plan", self._now_ms() - started_ms)
         for refusal in plan.refusals:
             entry = self._entries[refusal.job_id]
@@ -305,9 +278,8 @@
                 for j, e in self._entries.items()
                 if e.placements
             },
-            "unheard": self._inventory.unheard(),
             "unmet": [unmet._asdict() for unmet in self._unmet],
-            "health": self._health.dump(),
+            **self._data_centre.dump(),
         }
 
     def _now_ms(self):
@@ -472,38 +444,13 @@
             self._entries[job_id] = entry._replace(placements=(), stopping=False)
         self._claims = {}
 
-    def _situation(self):
-        now_ms = self._now_ms()
-        usable = self._health.usable(self._inventory.names(), now_ms)
-        waiting = []
-        running = []
-        for entry in self._entries.values():
-            if entry.placements:
-                running.append(_running_view(entry, now_ms, self._prediction))
-            elif entry.not_before_ms <= now_ms and not entry.opened.cancelled:
-                waiting.append(_waiting_view(entry, self._prediction))
-        claims = tuple(Claim(j, p) for j, p in self._claims.items())
-        known = () if self._inventory.unheard() else self._inventory.listed()
-        return Situation(
-            now_ms,
-            self._context.settings.data_centre,
-            self._inventory.views(usable),
-            tuple(running),
-            tuple(waiting),
-            self._configuration.organisations,
-            claims,
-            known,
-        )
-
     def _launch(self, launch):
         entry = self._entries[launch.job_id]
         self._claims.pop(launch.job_id, None)
         self._entries[launch.job_id] = entry._replace(
             placements=launch.placements, started_ms=0, borrowed=launch.borrowed
         )
-        self._inventory.give(launch.job_id, launch.placements)
-        for place in launch.placements:
-            self._health.probe_started(place.worker)
+        self._data_centre.launched(launch.job_id, launch.placements)
         tell(self._attempts, StartAttempt(entry.opened, entry.number, launch))
         self._tell_status(self._entries[launch.job_id], JobState.STARTING)
 
@@ -519,73 +466,17 @@
             stop = StopAttempt(job_id, reason, entry.job.can_checkpoint)
             tell(self._attempts, stop)
 
-    def _learn(self, entry, attempt):
-        now_ms = self._now_ms()
-        if attempt.goal == Outcome.FINISHED:
-            lease = attempt.members[0].lease
-            if lease is not None:
-                self._prediction.observe(entry.kind, lease.run_ms)
-            for member in attempt.members:
-                self._health.succeeded(member.placement.worker)
-        for member in attempt.members:
-            if member.lease is not None and member.lease.state.value == "failed":
-                self._health.failed(member.placement.worker, now_ms)
-
-    def _after_finished(self, entry, attempt):
-        lease = attempt.members[0].lease
-        worker = attempt.members[0].placement.worker
-        answer = AnswerLocation(
+    def _answer_of(self, attempt):
+        """Return where the answer of a finished attempt is held."""
+        first = attempt.members[0]
+        worker = first.placement.worker
+        return AnswerLocation(
             worker,
             self._inventory.address_of(worker),
-            attempt.members[0].lease_id,
-            lease.answer_length,
-            lease.answer_digest,
+            first.lease_id,
+            first.lease.answer_length,
+            first.lease.answer_digest,
         )
-        self._end(entry, ResultCode.OK, "", answer, lease.run_ms)
-
-    def _after_failed(self, entry, attempt):
-        failed = entry.failed + 1
-        if entry.job.idempotent and failed < MOST_FAILED_ATTEMPTS:
-            self._wait_again(entry._replace(failed=failed), attempt)
-            return
-        self._end(entry, ResultCode.FAILED, attempt.reason)
-
-    def _after_stopped(self, entry, attempt):
-        if entry.opened.cancelled:
-            self._end(entry, ResultCode.STOPPED, "cancelled while it ran")
-            return
-        tokens = tuple(member.token for member in attempt.members)
-        if all(tokens):
-            record = Checkpointed(entry.job.job_id, attempt.number, tokens)
-            tell(self._ledger, RecordFact(record))
-            opened = entry.opened._replace(tokens=tokens)
-            self._wait_again(entry._replace(opened=opened), attempt)
-        elif entry.job.idempotent:
-            self._wait_again(entry, attempt)
-        else:
-            self._end(entry, ResultCode.OUTCOME_UNKNOWN, "stopped without a checkpoint")
-
-    def _after_not_run(self, entry, attempt):
-        if attempt.needs_intent:
-            proof = f"every worker says so: {attempt.reason}"
-            refuted = AttemptRefuted(entry.job.job_id, attempt.number, proof)
-            tell(self._ledger, RecordFact(refuted))
-        if entry.opened.cancelled:
-            self._end(entry, ResultCode.CANCELLED, "cancelled before it ran")
-            return
-        self._wait_again(entry, attempt)
-
-    def _after_lost(self, entry, attempt):
-        known = all(member.cleared in KNOWN_STATES for member in attempt.members)
-        if entry.opened.cancelled and (known or entry.job.idempotent):
-            self._end(entry, ResultCode.STOPPED, "cancelled while it ran")
-        elif entry.job.idempotent:
-            self._wait_again(entry, attempt)
-        elif known:
-            reason = f"it had started, and was stopped: {attempt.reason}"
-            self._end(entry, ResultCode.STOPPED, reason)
-        else:
-            self._end(entry, ResultCode.OUTCOME_UNKNOWN, attempt.reason)
 
     def _wait_again(self, entry, attempt):
         delay_ms = min(RETRY_DELAY_MS << min(entry.retries, 8), LONGEST_RETRY_DELAY_MS)
@@ -622,17 +513,8 @@
         )
         tell(self._ledger, RecordFact(ended))
         if entry.direct or not says_not_run(code):
-            status = JobStatus(
-                job.job_id,
-                JobState.ENDED,
-                code,
-                reason,
-                job.organisation,
-                job.service,
-                answer,
-                wait_ms,
-                run_ms,
-                workers,
+            status = status_of(entry, JobState.ENDED, code)._replace(
+                reason=reason, answer=answer, wait_ms=wait_ms, run_ms=run_ms
             )
             tell(self._watches, StatusChanged(status))
 
@@ -642,67 +524,4 @@
             del self._closed[next(iter(self._closed))]
 
     def _tell_status(self, entry, state):
-        job = entry.job
-        status = JobStatus(
-            job.job_id,
-            state,
-            ResultCode.PENDING,
-            "",
-            job.organisation,
-            job.service,
-            workers=tuple(place.worker for place in entry.placements),
-        )
-        tell(self._watches, StatusChanged(status))
-
-    def _worker_rows(self):
-        usable = set(self._health.usable(self._inventory.names(), self._now_ms()))
-        for name, report in sorted(self._inventory.reports.items()):
-            yield {
-                "worker": name,
-                "data_centre": self._context.settings.data_centre,
-                "rack": self._inventory.rack_of(name),
-                "accelerators": report.accelerators,
-                "speed": report.speed,
-                "leases": len(report.leases),
-                "usable": name in usable,
-            }
-
-
-_AFTER = {
-    Outcome.FINISHED: QueueController._after_finished,
-    Outcome.FAILED: QueueController._after_failed,
-    Outcome.STOPPED: QueueController._after_stopped,
-    Outcome.NOT_RUN: QueueController._after_not_run,
-    Outcome.LOST: QueueController._after_lost,
-}
-
-
-def _running_view(entry, now_ms, prediction):
-    job = entry.job
-    elapsed_ms = now_ms - entry.started_ms if entry.started_ms else 0
-    left_ms = prediction.remaining_ms(entry.kind, job.declared_run_ms, elapsed_ms)
-    lost_ms = CHECKPOINT_COST_MS if job.can_checkpoint else elapsed_ms
-    return RunningView(
-        job.job_id,
-        job.organisation,
-        job.shape,
-        entry.placements,
-        entry.started_ms or now_ms,
-        now_ms + left_ms,
-        entry.reclaimable and not entry.stopping,
-        lost_ms * job.shape.total,
-        job.urgency,
-    )
-
-
-def _waiting_view(entry, prediction):
-    job = entry.job
-    return WaitingView(
-        job.job_id,
-        job.organisation,
-        job.shape,
-        job.urgency,
-        entry.since_ms,
-        prediction.total_ms(entry.kind, job.declared_run_ms),
-        entry.reclaimable,
-    )
+        tell(self._watches, StatusChanged(status_of(entry, state)))
--- /dev/null
+++ b/knapweedshed/decisions/entries.py
@@ -0,0 +1,90 @@
+"""A job that has not ended, as the queue keeps it, and as others are shown it."""
+
+from typing import Any, NamedTuple
+
+from knapweedshed.models.jobs import JobStatus
+from knapweedshed.models.planning import RunningView, WaitingView
+from knapweedshed.results import ResultCode
+
+CHECKPOINT_COST_MS = 500
+
+
+class Entry(NamedTuple):
+    """One job that has not ended, as this scheduler sees it.
+
+    `placements` is empty while the job waits.
+    """
+
+    opened: Any
+    since_ms: int
+    number: int
+    not_before_ms: int = 0
+    failed: int = 0
+    retries: int = 0
+    placements: tuple = ()
+    started_ms: int = 0
+    stopping: bool = False
+    borrowed: bool = False
+    direct: bool = False
+
+    @property
+    def job(self):
+        """The job."""
+        return self.opened.job
+
+    @property
+    def kind(self):
+        """What run times are learned by."""
+        return (self.job.organisation, self.job.service)
+
+    @property
+    def reclaimable(self):
+        """Whether a stop keeps every promise."""
+        return self.job.idempotent or self.job.can_checkpoint
+
+
+def running_view(entry, now_ms, prediction):
+    """Return what the planner sees of an entry that holds accelerators."""
+    job = entry.job
+    elapsed_ms = now_ms - entry.started_ms if entry.started_ms else 0
+    left_ms = prediction.remaining_ms(entry.kind, job.declared_run_ms, elapsed_ms)
+    lost_ms = CHECKPOINT_COST_MS if job.can_checkpoint else elapsed_ms
+    return RunningView(
+        job.job_id,
+        job.organisation,
+        job.shape,
+        entry.placements,
+        entry.started_ms or now_ms,
+        now_ms + left_ms,
+        entry.reclaimable and not entry.stopping,
+        lost_ms * job.shape.total,
+        job.urgency,
+    )
+
+
+def waiting_view(entry, prediction):
+    """Return what the planner sees of an entry that waits."""
+    job = entry.job
+    return WaitingView(
+        job.job_id,
+        job.organisation,
+        job.shape,
+        job.urgency,
+        entry.since_ms,
+        prediction.total_ms(entry.kind, job.declared_run_ms),
+        entry.reclaimable,
+    )
+
+
+def status_of(entry, state, code=ResultCode.PENDING):
+    """Return the `JobStatus` that callers are told of an entry."""
+    job = entry.job
+    return JobStatus(
+        job.job_id,
+        state,
+        code,
+        "",
+        job.organisation,
+        job.service,
+        workers=tuple(place.worker for place in entry.placements),
+    )
