--- a/scripts/capacity_page.py
+++ b/scripts/capacity_page.py
@@ -137,6 +137,7 @@
         "entry MB": entry_mb,
         "entry heartbeat KB": 2 * 3 * PLACES * heartbeat / 1_000,
         "connections": connections,
+        "heartbeat %": connections * per_entry,
         "syncs": syncs,
     }
 
@@ -257,7 +258,8 @@
 - **Syncs.** {f["sync KB"]:.1f} KB/s: a full report each {f["renew_s"]:.0f} s. What will
   carry it: a digest of the report in place of the report where nothing changed, and the
   standby reading from the acting scheduler instead of from every worker.
-- **Heartbeats.** {f["heartbeat KB"]:.1f} KB/s at a scheduler, as each entry of each data
+- **Heartbeats.** {f["heartbeat KB"]:.1f} KB/s and {f["heartbeat %"]:.1f}% of a core at a
+  scheduler, the largest part of its processor time, as each entry of each data
   centre connects to every scheduler and both sides speak each second. What will carry it:
   each 5 s across data centres, where nothing is decided by them.
 - **Threads.** Two a worker at a scheduler: {2 * WORKERS} at {WORKERS} workers, and one for
