--- a/knapweedshed/actors.py
+++ b/knapweedshed/actors.py
@@ -50,10 +50,6 @@
         return {}
 
 
-class DumpState:
-    """Ask an actor for its state dump."""
-
-
 def tell(ref, message):
     """Send `message`; a receiver that has stopped is passed over."""
     if ref is None:
@@ -64,6 +60,12 @@
         return
 
 
+def stop_all(refs):
+    """Stop actors, one after the other."""
+    for ref in refs:
+        stop(ref)
+
+
 def stop(ref):
     """Stop an actor and wait for its last message."""
     if ref is None:
--- a/knapweedshed/decisions/placement.py
+++ b/knapweedshed/decisions/placement.py
@@ -55,7 +55,7 @@
 
     def place(self, shape, free, board, spare):
         """Return the first fitting placements."""
-        for names in _candidate_groups(shape, board):
+        for names in groups_for(shape, board):
             found = []
             for name in names:
                 places = sorted(
@@ -76,7 +76,7 @@
     def place(self, shape, free, board, spare):
         """Return the placements that break up the least."""
         best = None
-        for names in _candidate_groups(shape, board):
+        for names in groups_for(shape, board):
             ranked = self._ranked(shape, free, board, spare, names)
             if len(ranked) < shape.members:
                 continue
@@ -106,16 +106,17 @@
         return ranked
 
 
-def create_placement(name="best-fit"):
-    """Return the placement policy called `name`."""
-    return {"best-fit": BestFit, "first-fit": FirstFit}[name]()
-
-
-def _candidate_groups(shape, board):
+def groups_for(shape, board):
+    """Return the lists of workers of which one must hold the whole shape."""
     if shape.adjacency == Adjacency.RACK:
         return [board.racks[rack] for rack in sorted(board.racks)]
     return [list(board.workers)]
 
 
+def create_placement(name="best-fit"):
+    """Return the placement policy called `name`."""
+    return {"best-fit": BestFit, "first-fit": FirstFit}[name]()
+
+
 def _placement(name, start, accelerators):
     return Placement(name, indexes_of(cell_mask(start, accelerators)))
--- a/knapweedshed/decisions/reclaim.py
+++ b/knapweedshed/decisions/reclaim.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from knapweedshed.decisions.cells import cell_mask, cell_size, indexes_of
-from knapweedshed.decisions.placement import mask
-from knapweedshed.models.shapes import Adjacency, Placement
+from knapweedshed.decisions.placement import groups_for, mask
+from knapweedshed.models.shapes import Placement
 
 
 class Victims(NamedTuple):
@@ -30,7 +30,7 @@
     occupants = _occupants(borrowers, board)
     costs = {job.job_id: job.reclaim_cost for job in borrowers}
     best = None
-    for names in _groups(shape, board):
+    for names in groups_for(shape, board):
         found = _cheapest_cells(shape, usable, occupants, costs, names)
         if found is None:
             continue
@@ -47,12 +47,6 @@
     return Victims(tuple(sorted(chosen)), placements)
 
 
-def _groups(shape, board):
-    if shape.adjacency == Adjacency.RACK:
-        return [board.racks[rack] for rack in sorted(board.racks)]
-    return [list(board.workers)]
-
-
 def _occupants(borrowers, board):
     occupants = {}
     for job in borrowers:
--- a/knapweedshed/decisions/reservation.py
+++ b/knapweedshed/decisions/reservation.py
@@ -3,8 +3,7 @@
 from typing import NamedTuple
 
 from knapweedshed.decisions.cells import cell_mask, cell_size, full_mask
-from knapweedshed.decisions.placement import mask
-from knapweedshed.models.shapes import Adjacency
+from knapweedshed.decisions.placement import groups_for, mask
 
 
 class Reservation(NamedTuple):
@@ -19,7 +18,7 @@
     """Return the `Reservation` that is ready first for a waiting gang, or None."""
     ends = _ends(situation, board)
     best = None
-    for names in _groups(job.shape, board):
+    for names in groups_for(job.shape, board):
         cells = _cells(job.shape, ends, board, names, situation.now_ms)
         if len(cells) < job.shape.members:
             continue
@@ -47,12 +46,6 @@
     return now_ms + job.predicted_ms > reservation.ready_ms
 
 
-def _groups(shape, board):
-    if shape.adjacency == Adjacency.RACK:
-        return [board.racks[rack] for rack in sorted(board.racks)]
-    return [list(board.workers)]
-
-
 def _ends(situation, board):
     ends = {}
     for running in situation.running:
--- a/knapweedshed/links/http_platform.py
+++ b/knapweedshed/links/http_platform.py
@@ -12,7 +12,6 @@
     LogService,
     NoAnswer,
     Platform,
-    Refused,
     RunnerAnswer,
     RunnerService,
     StoredRecord,
@@ -233,6 +232,3 @@
 
 def _done(plain):
     return Done(str(plain.get("detail", "")))
-
-
-__all__ = ["HttpPlatform", "Refused"]
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -3,7 +3,7 @@
 import sys
 from typing import Any, NamedTuple
 
-from knapweedshed.actors import stop, tell
+from knapweedshed.actors import stop_all, tell
 from knapweedshed.controllers.configuration import STREAM, ConfigurationController
 from knapweedshed.controllers.homes import HomesController, UseLinks
 from knapweedshed.controllers.membership import (
@@ -99,7 +99,7 @@
                 [settings.listen], front.handle, settings.threads, context.logger
             )
         except OSError:
-            self._stop_all(self._actors())
+            stop_all(self._actors())
             raise
         self._tail = None
         self._links = ()
@@ -134,7 +134,7 @@
         self._server.close()
         for ref in (self._tail, *self._links):
             ref.stop(block=False)
-        self._stop_all(self._actors())
+        stop_all(self._actors())
         self._timer.close()
 
     def dump(self):
@@ -189,10 +189,6 @@
             *self._callers,
         ]
 
-    def _stop_all(self, refs):
-        for ref in refs:
-            stop(ref)
-
 
 def main():
     """Run an entry."""
--- a/knapweedshed/programs/scheduler.py
+++ b/knapweedshed/programs/scheduler.py
@@ -3,7 +3,7 @@
 import sys
 import threading
 
-from knapweedshed.actors import stop, tell
+from knapweedshed.actors import stop_all, tell
 from knapweedshed.clock import MS_PER_SECOND
 from knapweedshed.controllers.attempts import AttemptsController, ConnectAttempts
 from knapweedshed.controllers.configuration import STREAM, ConfigurationController
@@ -76,7 +76,7 @@
         try:
             self._server = PeerServer(context, settings.listen, self._switchboard)
         except OSError:
-            self._stop_all(self._actors())
+            stop_all(self._actors())
             raise
         self._tails = ()
         self._peer_links = ()
@@ -115,7 +115,7 @@
         self._server.close()
         for ref in (*self._tails, *self._peer_links):
             ref.stop(block=False)
-        self._stop_all(self._actors())
+        stop_all(self._actors())
         self._timer.close()
 
     def dump(self):
@@ -215,10 +215,6 @@
             self._appender,
         ]
 
-    def _stop_all(self, refs):
-        for ref in refs:
-            stop(ref)
-
 
 def main():
     """Run a scheduler."""
