Let a refutation name the intent that it refutes

Cause: with two acting schedulers, each cut off from the other, the one whose lease was refused recorded that attempt 1 had not run; the fold took this for the other's attempt 1, which ran, and opened attempt 2. Ruled out: the workers' fences and the order of intents, which held. Change: AttemptRefuted carries the intent's id and counts only against that intent; an intent that lands after its attempt was given up is refuted by who gave it up; a job with a standing intent is not planned by others, and is taken over or cleared after 10 s; of two leases for one member the one that runs is kept.

--- a/knapweedshed/controllers/attempts.py
+++ b/knapweedshed/controllers/attempts.py
@@ -29,7 +29,7 @@
 from knapweedshed.links.platform import Done, Freed, Granted, Refused
 from knapweedshed.models import attempts as events
 from knapweedshed.models.attempts import Outcome, Phase
-from knapweedshed.models.ledger import IntentRecorded
+from knapweedshed.models.ledger import AttemptRefuted, IntentRecorded
 from knapweedshed.models.workers import Labels
 
 TRANSIENT_PHASES = (
@@ -64,7 +64,7 @@
         self._attempts = {}
         self._opened = {}
         self._bodies = {}
-        self._intents = {}
+        self._aborted = {}
         self._by_lease = {}
         self._granted_ms = {}
         self._in_flight = set()
@@ -91,7 +91,7 @@
         """Forget all attempts on standing down: another scheduler goes on with them."""
         if message.acting:
             return
-        for table in (self._attempts, self._opened, self._bodies, self._intents):
+        for table in (self._attempts, self._opened, self._bodies):
             table.clear()
         self._by_lease.clear()
         self._granted_ms.clear()
@@ -151,9 +151,13 @@
         for fact in message.facts:
             if not isinstance(fact, IntentWon):
                 continue
+            if fact.intent.intent_id in self._aborted:
+                refuted = self._aborted.pop(fact.intent.intent_id)
+                tell(self._ledger, RecordFact(refuted))
+                continue
             attempt = self._attempts.get(fact.intent.job_id)
             if attempt is not None and attempt.number == fact.intent.attempt:
-                won = self._intents.get(attempt.job_id) == fact.intent.intent_id
+                won = attempt.intent_id == fact.intent.intent_id
                 self._happen(attempt.job_id, events.IntentSettled(won))
 
     @receive.register
@@ -307,7 +311,8 @@
 
     def _record_intent(self, attempt):
         intent_id = self._context.new_id()
-        self._intents[attempt.job_id] = intent_id
+        attempt = attempt._replace(intent_id=intent_id)
+        self._attempts[attempt.job_id] = attempt
         lease_ids = tuple(member.lease_id for member in attempt.members)
         record = IntentRecorded(attempt.job_id, attempt.number, intent_id, lease_ids)
         tell(self._ledger, RecordFact(record))
@@ -338,7 +343,10 @@
         del self._attempts[attempt.job_id]
         self._opened.pop(attempt.job_id, None)
         self._bodies.pop(attempt.job_id, None)
-        self._intents.pop(attempt.job_id, None)
+        if attempt.intent_id and action.outcome == Outcome.NOT_RUN:
+            self._aborted[attempt.intent_id] = AttemptRefuted(
+                attempt.job_id, attempt.number, attempt.intent_id, action.reason
+            )
         self._context.metrics.count(f"attempt.{action.outcome.value}")
         ended = attempt._replace(goal=action.outcome, reason=action.reason)
         tell(self._queue, AttemptEnded(ended))
--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -35,6 +35,7 @@
 )
 from knapweedshed.decisions.ledger import (
     KEPT_ENDED,
+    IntentWon,
     JobChanged,
     JobClosed,
     JobOpened,
@@ -60,6 +61,7 @@
 PLAN_DELAY_MS = 10
 RECOVERY_LIMIT_MS = 8_000
 RECONCILE_TICKS = 4
+STALE_INTENT_MS = 10_000
 RETRY_DELAY_MS = 250
 LONGEST_RETRY_DELAY_MS = 5_000
 
@@ -169,6 +171,8 @@
                 self._open(fact.open_job)
             elif isinstance(fact, JobChanged):
                 self._change(fact.open_job)
+            elif isinstance(fact, IntentWon):
+                self._intent_won(fact.intent)
             elif isinstance(fact, JobClosed):
                 self._remember(fact.ended)
                 self._drop(fact.ended.job_id)
@@ -308,6 +312,13 @@
         if opened.cancelled:
             self._cancel(entry)
 
+    def _intent_won(self, intent):
+        entry = self._entries.get(intent.job_id)
+        if entry is not None:
+            self._entries[intent.job_id] = entry._replace(
+                opened=entry.opened._replace(intent=intent), intent_ms=self._now_ms()
+            )
+
     def _drop(self, job_id):
         entry = self._entries.pop(job_id, None)
         self._claims.pop(job_id, None)
@@ -419,6 +430,7 @@
         self._orphans = strangers
         if not initial:
             held = {item.lease.labels.job_id for item in found}
+            held |= self._stale_intents()
             waiting = {j: o for j, o in waiting.items() if j in held}
         recovered = recover(waiting, self._closed, found, self._now_ms())
         for attempt in (*recovered.adopted, *recovered.to_clear):
@@ -426,6 +438,17 @@
         for _, lease_id in recovered.to_free:
             tell(self._workers, WorkerCommand("free", lease_id, "", 0))
 
+    def _stale_intents(self):
+        """Return the waiting jobs under whose intent nothing has been seen to run."""
+        now_ms = self._now_ms()
+        return {
+            job_id
+            for job_id, entry in self._entries.items()
+            if entry.opened.intent is not None
+            and not entry.placements
+            and now_ms - entry.intent_ms > STALE_INTENT_MS
+        }
+
     def _adopt_attempt(self, attempt):
         entry = self._entries[attempt.job_id]
         placements = tuple(member.placement for member in attempt.members)
@@ -451,7 +474,8 @@
             placements=launch.placements, started_ms=0, borrowed=launch.borrowed
         )
         self._data_centre.launched(launch.job_id, launch.placements)
-        tell(self._attempts, StartAttempt(entry.opened, entry.number, launch))
+        number = entry.number if entry.job.idempotent else entry.opened.attempt
+        tell(self._attempts, StartAttempt(entry.opened, number, launch))
         self._tell_status(self._entries[launch.job_id], JobState.STARTING)
 
     def _reclaim(self, reclaim):
--- a/knapweedshed/decisions/data_centre.py
+++ b/knapweedshed/decisions/data_centre.py
@@ -45,7 +45,7 @@
         for entry in entries:
             if entry.placements:
                 running.append(running_view(entry, now_ms, self._prediction))
-            elif entry.not_before_ms <= now_ms and not entry.opened.cancelled:
+            elif entry.may_start(now_ms):
                 waiting.append(waiting_view(entry, self._prediction))
         usable = self._health.usable(self.inventory.names(), now_ms)
         complete = not self.inventory.unheard()
--- a/knapweedshed/decisions/endings.py
+++ b/knapweedshed/decisions/endings.py
@@ -57,9 +57,11 @@
 
 def _not_run(opened, attempt, failed_before):
     record = None
-    if attempt.needs_intent:
+    if attempt.intent_id:
         proof = f"every worker says so: {attempt.reason}"
-        record = AttemptRefuted(attempt.job_id, attempt.number, proof)
+        record = AttemptRefuted(
+            attempt.job_id, attempt.number, attempt.intent_id, proof
+        )
     if opened.cancelled:
         reason = "cancelled before it ran"
         return Verdict(ResultCode.CANCELLED, reason, record)
--- a/knapweedshed/decisions/entries.py
+++ b/knapweedshed/decisions/entries.py
@@ -26,6 +26,7 @@
     stopping: bool = False
     borrowed: bool = False
     direct: bool = False
+    intent_ms: int = 0
 
     @property
     def job(self):
@@ -37,6 +38,15 @@
         """What run times are learned by."""
         return (self.job.organisation, self.job.service)
 
+    def may_start(self, now_ms):
+        """Return whether a waiting job may be planned now.
+
+        While an intent stands, an attempt of somebody's is under way.
+        """
+        if self.opened.cancelled or self.opened.intent is not None:
+            return False
+        return self.not_before_ms <= now_ms
+
     @property
     def reclaimable(self):
         """Whether a stop keeps every promise."""
--- a/knapweedshed/decisions/ledger.py
+++ b/knapweedshed/decisions/ledger.py
@@ -135,7 +135,9 @@
 
     def _refute(self, record):
         opened = self.open.get(record.job_id)
-        if opened is None or record.attempt != opened.attempt:
+        if opened is None or opened.intent is None:
+            return ()
+        if record.intent_id != opened.intent.intent_id:
             return ()
         changed = opened._replace(refuted=record.attempt, intent=None)
         return self._change(changed)
--- a/knapweedshed/decisions/recovery.py
+++ b/knapweedshed/decisions/recovery.py
@@ -35,16 +35,22 @@
     for item in found:
         labels = item.lease.labels
         if labels.job_id in open_jobs:
-            key = (labels.job_id, labels.attempt)
-            groups.setdefault(key, {})[labels.member] = item
+            group = groups.setdefault((labels.job_id, labels.attempt), {})
+            spare = _less_telling(open_jobs[labels.job_id], group, item)
+            if spare is not None:
+                to_free.append((spare.worker, spare.lease.lease_id))
         elif not _holds_answer(closed.get(labels.job_id), item):
             to_free.append((item.worker, item.lease.lease_id))
     adopted = []
     to_clear = []
     for (job_id, number), members in sorted(groups.items()):
+        if not members:
+            continue
         attempt = _attempt(open_jobs[job_id], number, members, now_ms)
         if attempt.phase == Phase.RUNNING:
-            adopted.append(attempt)
+            intent = open_jobs[job_id].intent
+            intent_id = intent.intent_id if intent else ""
+            adopted.append(attempt._replace(intent_id=intent_id))
         else:
             to_clear.append(_with_intended(attempt, open_jobs[job_id]))
     seen = {attempt.job_id for attempt in (*adopted, *to_clear)}
@@ -68,7 +74,31 @@
         for lease_id in intent.lease_ids
         if lease_id not in found
     )
-    return attempt._replace(members=(*attempt.members, *missing))
+    return attempt._replace(
+        members=(*attempt.members, *missing), intent_id=intent.intent_id
+    )
+
+
+def _less_telling(opened, group, item):
+    """Put a lease into its group; return the one of two that is to be freed.
+
+    Two schedulers that acted at once may both have leased for a member: what the
+    winning intent doesn't name can't have run, and what runs goes before what doesn't.
+    """
+    intent = opened.intent
+    lease = item.lease
+    if intent is not None and intent.attempt == lease.labels.attempt:
+        if lease.lease_id not in intent.lease_ids:
+            return item
+    other = group.get(lease.labels.member)
+    if other is not None and _runs(other.lease):
+        return item
+    group[lease.labels.member] = item
+    return other
+
+
+def _runs(lease):
+    return lease.state in (LeaseState.RUNNING, LeaseState.FINISHED)
 
 
 def _holds_answer(ended, item):
@@ -86,7 +116,7 @@
         if item is None:
             continue
         lease = item.lease
-        runs = lease.state in (LeaseState.RUNNING, LeaseState.FINISHED)
+        runs = _runs(lease)
         whole = whole and runs
         members.append(
             Member(
--- a/knapweedshed/models/attempts.py
+++ b/knapweedshed/models/attempts.py
@@ -65,6 +65,7 @@
     goal: Outcome = Outcome.NOT_RUN
     reason: str = ""
     since_ms: int = 0
+    intent_id: str = ""
 
     @property
     def is_gang(self):
--- a/knapweedshed/models/ledger.py
+++ b/knapweedshed/models/ledger.py
@@ -30,10 +30,15 @@
 
 
 class AttemptRefuted(NamedTuple):
-    """Proof that an attempt did not run: its workers said so, lease by lease."""
+    """Proof that the attempt under one intent did not run.
+
+    Its workers said so, for every lease that the intent names. Another scheduler's
+    intent for the same attempt is not refuted by it.
+    """
 
     job_id: str
     attempt: int
+    intent_id: str
     proof: str
 
 
--- a/tests/scenarios/5_once.feature
+++ b/tests/scenarios/5_once.feature
@@ -40,3 +40,14 @@
     And all schedulers are killed and started again
     Then every answer is right within 60 s
     And nothing non-idempotent ran twice
+
+  Scenario: two schedulers act at once, each cut off from the other
+    Given a platform with 2 workers and 2 runners for north, each with 1 entry and 2 schedulers
+    And organisation acme guaranteed 8, 8 in each data centre
+    When the schedulers of north are cut off from each other
+    And 6 seconds pass
+    And acme submits 12 proof jobs of 700 ms
+    And 8 seconds pass
+    And north is joined again
+    Then every answer is right within 60 s
+    And nothing non-idempotent ran twice
--- a/tests/steps.py
+++ b/tests/steps.py
@@ -294,9 +294,15 @@
     world.proxy.set_fault(world.region_ports(place), Fault.CUT)
 
 
+@step(r"the schedulers of (?P<place>\w+) are cut off from each other")
+def cut_schedulers(world, place):
+    world.proxy.set_fault(world.scheduler_ports(place), Fault.CUT)
+
+
 @step(r"(?P<place>\w+) is joined again")
 def join(world, place):
     ports = world.platform_ports(place) + world.region_ports(place)
+    ports += world.scheduler_ports(place)
     world.proxy.set_fault(ports, Fault.NONE)
 
 
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -146,10 +146,18 @@
         second = IntentRecorded("north.k.c", 2, "two", ("b",))
         ledger = fold_ledger([JobAccepted(job()), second])
         self.assertIsNone(ledger.open["north.k.c"].intent)
-        records = [JobAccepted(job()), AttemptRefuted("north.k.c", 1, "proof"), second]
-        ledger = fold_ledger(records)
+        first = IntentRecorded("north.k.c", 1, "one", ("a",))
+        refuted = AttemptRefuted("north.k.c", 1, "one", "proof")
+        ledger = fold_ledger([JobAccepted(job()), first, refuted, second])
         self.assertEqual(ledger.open["north.k.c"].intent, second)
 
+    def test_who_lost_the_race_for_an_attempt_can_not_refute_the_winner(self):
+        first = IntentRecorded("north.k.c", 1, "one", ("a",))
+        refuted = AttemptRefuted("north.k.c", 1, "two", "my own leases never ran")
+        ledger = fold_ledger([JobAccepted(job()), first, refuted])
+        self.assertEqual(ledger.open["north.k.c"].intent, first)
+        self.assertEqual(ledger.open["north.k.c"].attempt, 1)
+
     def test_an_intent_after_the_end_wins_nothing(self):
         records = [
             JobAccepted(job()),
@@ -183,7 +191,7 @@
                     JobAccepted(job("north.m.c", idempotent=True)),
                     IntentRecorded("north.k.c", 1, "one", ("a",)),
                     IntentRecorded("north.k.c", 2, "two", ("b",)),
-                    AttemptRefuted("north.k.c", 1, "proof"),
+                    AttemptRefuted("north.k.c", 1, "one", "proof"),
                     Checkpointed("north.m.c", 1, ("5",)),
                     CancelAsked("north.m.c"),
                     JobEnded("north.k.c", ResultCode.OK),
@@ -215,7 +223,9 @@
 
     def attempt(self, goal, cleared="", token=""):
         member = Member("w~i~1", Placement("w", (0,)), cleared=cleared, token=token)
-        return Attempt("north.k.c", 1, (member,), True, goal=goal, reason="why")
+        return Attempt(
+            "north.k.c", 1, (member,), True, goal=goal, reason="why", intent_id="one"
+        )
 
     def test_lost_non_idempotent_work_is_never_tried_again(self):
         verdict = judge(OpenJob(job()), self.attempt(Outcome.LOST, "gone"), 0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -299,6 +299,12 @@
                 ports.append(far + index * 5 + scheduler)
         return ports
 
+    def scheduler_ports(self, place):
+        """Return the proxy's ports by which a data centre reaches its schedulers."""
+        index = self.cluster.places.index(place)
+        port = self.port + self.cluster.proxy_offset(place) + SCHEDULER_OFFSET
+        return [port + index * 5 + scheduler for scheduler in range(5)]
+
     def set_host_state(self, name, state):
         """Change a host's state in the platform's list."""
         url = f"http://127.0.0.1:{self.port + 1}/hosts"
