Split planning, recovery and the scenarios' words

Cause: planning.py, queue.py and steps.py had grown past what a newcomer reads at once. Change: feasibility of shapes on its own; reconciling reports with attempts is a pure decision; scenario steps that act and steps that check are two modules. Behaviour as before.

--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -41,7 +41,7 @@
     JobOpened,
 )
 from knapweedshed.decisions.planning import create_planner
-from knapweedshed.decisions.recovery import FoundLease, recover
+from knapweedshed.decisions.recovery import Reconciler
 from knapweedshed.models.attempts import Outcome, Phase
 from knapweedshed.models.configuration import Configuration
 from knapweedshed.models.jobs import AnswerLocation, JobState
@@ -61,7 +61,6 @@
 PLAN_DELAY_MS = 10
 RECOVERY_LIMIT_MS = 8_000
 RECONCILE_TICKS = 4
-STALE_INTENT_MS = 10_000
 RETRY_DELAY_MS = 250
 LONGEST_RETRY_DELAY_MS = 5_000
 
@@ -97,7 +96,7 @@
         self._ready = False
         self._ledger_known = False
         self._closed = {}
-        self._orphans = set()
+        self._reconciler = Reconciler()
         self._direct = set()
         self._leaving = False
         self._ticks = 0
@@ -395,7 +394,8 @@
                 "ledger_known": self._ledger_known,
             },
         )
-        self._adopt(initial=True)
+        if self._ledger_known:
+            self._take_up(self._reconciler.recover_all)
         for entry in list(self._entries.values()):
             if entry.opened.cancelled:
                 self._cancel(entry)
@@ -403,52 +403,18 @@
 
     def _reconcile(self):
         if self._ledger_known:
-            self._adopt(initial=False)
-
-    def _adopt(self, initial):
-        """Take over leases that belong to no attempt of ours.
+            self._take_up(self._reconciler.reconcile)
 
-        After recovery a lease must be seen twice, as reports lag behind commands.
-        """
-        if not self._ledger_known:
-            return
-        waiting = {
-            job_id: entry.opened
-            for job_id, entry in self._entries.items()
-            if not entry.placements
-        }
-        found = []
-        strangers = set()
-        for worker, report in self._inventory.reports.items():
-            for lease in report.leases:
-                entry = self._entries.get(lease.labels.job_id)
-                if entry is not None and entry.placements:
-                    continue
-                strangers.add(lease.lease_id)
-                if initial or lease.lease_id in self._orphans:
-                    found.append(FoundLease(worker, lease))
-        self._orphans = strangers
-        if not initial:
-            held = {item.lease.labels.job_id for item in found}
-            held |= self._stale_intents()
-            waiting = {j: o for j, o in waiting.items() if j in held}
-        recovered = recover(waiting, self._closed, found, self._now_ms())
+    def _take_up(self, look):
+        """Go on with, or clear, what belongs to no attempt of ours."""
+        recovered = look(
+            self._entries, self._inventory.reports, self._closed, self._now_ms()
+        )
         for attempt in (*recovered.adopted, *recovered.to_clear):
             self._adopt_attempt(attempt)
         for _, lease_id in recovered.to_free:
             tell(self._workers, WorkerCommand("free", lease_id, "", 0))
 
-    def _stale_intents(self):
-        """Return the waiting jobs under whose intent nothing has been seen to run."""
-        now_ms = self._now_ms()
-        return {
-            job_id
-            for job_id, entry in self._entries.items()
-            if entry.opened.intent is not None
-            and not entry.placements
-            and now_ms - entry.intent_ms > STALE_INTENT_MS
-        }
-
     def _adopt_attempt(self, attempt):
         entry = self._entries[attempt.job_id]
         placements = tuple(member.placement for member in attempt.members)
--- a/knapweedshed/decisions/entries.py
+++ b/knapweedshed/decisions/entries.py
@@ -7,6 +7,7 @@
 from knapweedshed.results import ResultCode
 
 CHECKPOINT_COST_MS = 500
+STALE_INTENT_MS = 10_000
 
 
 class Entry(NamedTuple):
@@ -47,6 +48,12 @@
             return False
         return self.not_before_ms <= now_ms
 
+    def has_stale_intent(self, now_ms):
+        """Return whether nothing was seen to run under an intent for too long."""
+        if self.opened.intent is None or self.placements:
+            return False
+        return now_ms - self.intent_ms > STALE_INTENT_MS
+
     @property
     def reclaimable(self):
         """Whether a stop keeps every promise."""
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -3,11 +3,10 @@
 from abc import ABC, abstractmethod
 
 from knapweedshed.decisions import reservation as reservations
-from knapweedshed.decisions.cells import cell_size
+from knapweedshed.decisions.feasibility import impossible
 from knapweedshed.decisions.guarantees import (
     Capacity,
     consume,
-    entitlement_of,
     split_running,
 )
 from knapweedshed.decisions.placement import Board, create_placement, mask
@@ -15,7 +14,6 @@
 from knapweedshed.decisions.reclaim import choose_victims
 from knapweedshed.models.configuration import Urgency
 from knapweedshed.models.planning import Launch, Plan, Reclaim, Refusal, Unmet
-from knapweedshed.models.shapes import Adjacency
 from knapweedshed.results import Result, ResultCode
 
 LONGEST_SCAN = 2_000
@@ -344,44 +342,6 @@
             self._withheld[place.worker] = bits
 
 
-def impossible(shape, known):
-    """Return why `shape` can never run on the `known` (rack, accelerators), or ''."""
-    if not known:
-        return ""
-    size = cell_size(shape.accelerators)
-    cells = {}
-    for rack, accelerators in known:
-        fitting = accelerators // size + (accelerators % size >= shape.accelerators)
-        cells[rack] = cells.get(rack, 0) + fitting
-    if shape.adjacency == Adjacency.RACK:
-        most = max(cells.values())
-        where = "one rack"
-    else:
-        most = sum(cells.values())
-        where = "this data centre"
-    if most >= shape.members:
-        return ""
-    return (
-        f"{shape.members} members of {shape.accelerators} adjacent accelerators:"
-        f" {where} holds {most} at the most"
-    )
-
-
-def check_guarantees(organisations, data_centre, known):
-    """Return why the guarantees can't be packed into an empty inventory, or ''."""
-    capacity = Capacity((rack, (1 << accelerators) - 1) for rack, accelerators in known)
-    packed = []
-    for organisation in organisations:
-        packed.append(entitlement_of(organisation, data_centre))
-        missing = capacity.deficit(packed)
-        if missing:
-            return (
-                f"organisation {organisation.name!r}: its guarantee in {data_centre}"
-                f" doesn't fit beside the others; {missing} accelerators are missing"
-            )
-    return ""
-
-
 def create_planner(name="guarantee"):
     """Return the planner called `name`."""
     if name == "guarantee":
--- a/knapweedshed/decisions/recovery.py
+++ b/knapweedshed/decisions/recovery.py
@@ -23,6 +23,53 @@
     to_free: tuple[tuple[str, str], ...] = ()
 
 
+class Reconciler:
+    """Compares workers' reports with the attempts that a scheduler knows of.
+
+    At recovery every stranger is taken up at once. Later a lease must be seen twice,
+    as reports lag behind commands.
+    """
+
+    def __init__(self):
+        self._strangers = set()
+
+    def recover_all(self, entries, reports, closed, now_ms):
+        """Return `Recovered` for all jobs without an attempt of ours."""
+        found = self._look(entries, reports)
+        return recover(_waiting(entries), closed, found, now_ms)
+
+    def reconcile(self, entries, reports, closed, now_ms):
+        """Return `Recovered` for strangers that stay, and intents that went stale."""
+        before = self._strangers
+        found = self._look(entries, reports)
+        found = [item for item in found if item.lease.lease_id in before]
+        held = {item.lease.labels.job_id for item in found}
+        waiting = {
+            job_id: opened
+            for job_id, opened in _waiting(entries).items()
+            if job_id in held or entries[job_id].has_stale_intent(now_ms)
+        }
+        return recover(waiting, closed, found, now_ms)
+
+    def _look(self, entries, reports):
+        found = []
+        for worker, report in reports.items():
+            for lease in report.leases:
+                entry = entries.get(lease.labels.job_id)
+                if entry is None or not entry.placements:
+                    found.append(FoundLease(worker, lease))
+        self._strangers = {item.lease.lease_id for item in found}
+        return found
+
+
+def _waiting(entries):
+    return {
+        job_id: entry.opened
+        for job_id, entry in entries.items()
+        if not entry.placements
+    }
+
+
 def recover(open_jobs, closed, found, now_ms):
     """Return `Recovered` from the ledger's open jobs and the found leases.
 
--- a/knapweedshed/links/callers.py
+++ b/knapweedshed/links/callers.py
@@ -21,7 +21,7 @@
     WaitFor,
 )
 from knapweedshed.decisions.configuration import Decision, check_entry
-from knapweedshed.decisions.planning import check_guarantees
+from knapweedshed.decisions.feasibility import check_guarantees
 from knapweedshed.links.http_server import Answer, json_answer
 from knapweedshed.links.platform import Refused
 from knapweedshed.models.requests import Request
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -4,7 +4,7 @@
 
 from knapweedshed.links.entry_client import Answered
 from knapweedshed.results import ResultCode
-from tests import steps
+from tests import checks
 from tests.language import StepError, load_scenarios, run_step
 from tests.world import Outcome
 
@@ -52,35 +52,35 @@
 
     def test_a_second_start_is_seen(self):
         once = [row(0, "started"), row(9, "finished")]
-        steps.at_most_once(FakeWorld(once))
-        self.fails(steps.at_most_once, FakeWorld([*once, row(10, "started")]))
+        checks.at_most_once(FakeWorld(once))
+        self.fails(checks.at_most_once, FakeWorld([*once, row(10, "started")]))
 
     def test_a_part_that_runs_alone_is_seen(self):
         both = [row(0, "started", 0, 2), row(5, "started", 1, 2)]
         ended = [row(9_000, "finished", 0, 2), row(9_001, "finished", 1, 2)]
-        steps.gangs_whole(FakeWorld([*both, *ended]))
-        self.fails(steps.gangs_whole, FakeWorld([row(0, "started", 0, 2)]))
+        checks.gangs_whole(FakeWorld([*both, *ended]))
+        self.fails(checks.gangs_whole, FakeWorld([row(0, "started", 0, 2)]))
         lost = [*both, row(100, "stopped", 1, 2), row(9_000, "stopped", 0, 2)]
-        self.fails(steps.gangs_whole, FakeWorld(lost))
+        self.fails(checks.gangs_whole, FakeWorld(lost))
 
     def test_a_false_not_run_is_seen(self):
         told = [outcome(ResultCode.CANCELLED)]
-        steps.not_run_is_true(FakeWorld([], told))
-        self.fails(steps.not_run_is_true, FakeWorld([row(0, "started")], told))
+        checks.not_run_is_true(FakeWorld([], told))
+        self.fails(checks.not_run_is_true, FakeWorld([row(0, "started")], told))
 
     def test_a_wrong_or_missing_answer_is_seen(self):
         right = outcome(ResultCode.OK)
-        steps.answers_right(FakeWorld([], [right]), seconds="1")
+        checks.answers_right(FakeWorld([], [right]), seconds="1")
         for wrong in (outcome(ResultCode.OK, b"y"), outcome(ResultCode.FAILED)):
-            self.fails(steps.answers_right, FakeWorld([], [wrong]), seconds="1")
+            self.fails(checks.answers_right, FakeWorld([], [wrong]), seconds="1")
         missing = FakeWorld([], [right])
         missing.started.append("other")
-        self.fails(steps.answers_right, missing, seconds="1")
+        self.fails(checks.answers_right, missing, seconds="1")
 
     def test_a_start_on_a_leaving_worker_is_seen(self):
         late = FakeWorld([row(5_001, "started")])
-        self.fails(steps.nothing_started, late, number="0", seconds="5")
-        steps.nothing_started(FakeWorld([row(4_999, "started")]), "0", "5")
+        self.fails(checks.nothing_started, late, number="0", seconds="5")
+        checks.nothing_started(FakeWorld([row(4_999, "started")]), "0", "5")
 
     def test_words_that_no_step_knows_are_an_error(self):
         with self.assertRaises(StepError):
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -7,17 +7,14 @@
 from hypothesis import strategies as st
 
 from knapweedshed.decisions import cells
+from knapweedshed.decisions.feasibility import check_guarantees, impossible
 from knapweedshed.decisions.guarantees import (
     Capacity,
     Entitlement,
     consume,
     entitlement_of,
 )
-from knapweedshed.decisions.planning import (
-    GuaranteePlanner,
-    check_guarantees,
-    impossible,
-)
+from knapweedshed.decisions.planning import GuaranteePlanner
 from knapweedshed.models.configuration import Organisation, Urgency
 from knapweedshed.models.planning import (
     Claim,
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,7 +7,7 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from tests import steps  # noqa: F401 - registers the steps
+from tests import checks, steps  # noqa: F401 - register the steps
 from tests.language import load_scenarios, run_step
 from tests.world import World
 
