Speak less often across data centres

Change: each 4 s across data centres, with a limit of silence to match; each second within one, as before. Ruled out: slower heartbeats everywhere, which would delay a takeover beyond short leases.

--- a/knapweedshed/controllers/homes.py
+++ b/knapweedshed/controllers/homes.py
@@ -34,7 +34,8 @@
 )
 from knapweedshed.results import is_final
 
-HEARD_LIMIT_MS = 3_500
+NEAR_LIMIT_MS = 3_500
+FAR_LIMIT_MS = 14_000
 LISTING_LIMIT_MS = 1_500
 REWATCH_TICKS = 25
 
@@ -210,13 +211,18 @@
         now_ms = self._context.clock.now_ms()
         found = None
         for connection, peer in self._peers.items():
-            if peer.place != place or now_ms - peer.heard_ms > HEARD_LIMIT_MS:
+            if peer.place != place or not self._is_heard(peer, now_ms):
                 continue
             if peer.heartbeat is not None and peer.heartbeat.acting:
                 return connection
             found = connection
         return found
 
+    def _is_heard(self, peer, now_ms):
+        near = peer.place == self._context.settings.data_centre
+        limit_ms = NEAR_LIMIT_MS if near else FAR_LIMIT_MS
+        return now_ms - peer.heard_ms <= limit_ms
+
     def _reported(self, status):
         if is_final(status.code):
             self._watched.pop(status.job_id, None)
@@ -246,9 +252,7 @@
     def _tell_reachable(self):
         now_ms = self._context.clock.now_ms()
         places = frozenset(
-            peer.place
-            for peer in self._peers.values()
-            if now_ms - peer.heard_ms <= HEARD_LIMIT_MS
+            peer.place for peer in self._peers.values() if self._is_heard(peer, now_ms)
         )
         if places != self._reachable:
             self._reachable = places
--- a/knapweedshed/controllers/membership.py
+++ b/knapweedshed/controllers/membership.py
@@ -23,6 +23,7 @@
 
 PEER_LIMIT_MS = 3_500
 SETTLE_MS = 2_000
+FAR_EVERY_TICKS = 4
 SCHEDULER = "scheduler"
 ENTRY = "entry"
 
@@ -71,6 +72,8 @@
         self._incarnation = context.new_id()
         self._members = Members()
         self._connections = set()
+        self._far = set()
+        self._ticks = 0
         self._heard = {}
         self._acting = False
         self._ready = False
@@ -110,6 +113,7 @@
     def lost(self, message: PeerLost):
         """Forget a connection; the peer itself is judged by its heartbeats."""
         self._connections.discard(message.connection)
+        self._far.discard(message.connection)
 
     @receive.register
     def received(self, message: PeerReceived):
@@ -119,6 +123,8 @@
             return
         now_ms = self._context.clock.now_ms()
         self._heard[heartbeat.process_id] = _Heard(heartbeat, now_ms)
+        if heartbeat.data_centre != self._context.settings.data_centre:
+            self._far.add(message.connection)
         if heartbeat.leaving:
             self._members.leaves(heartbeat.process_id, heartbeat.incarnation)
         self._settle_acting()
@@ -131,14 +137,13 @@
             self._started_ms = now_ms
             self._change_acting(False)
         self._settle_acting()
-        heartbeat = SendToPeer(self._heartbeat())
-        for connection in self._connections:
-            tell(connection, heartbeat)
+        self._send_heartbeats()
 
     @receive.register
     def set_leaving(self, message: SetLeaving):
         """Say at once on every connection that this process leaves."""
         self._leaving = True
+        self._ticks = 0
         self.tick(Tick())
 
     @receive.register
@@ -163,6 +168,15 @@
             "workers": len(self._known.hosts) if self._known else 0,
         }
 
+    def _send_heartbeats(self):
+        """Speak on every connection, on those to other data centres less often."""
+        heartbeat = SendToPeer(self._heartbeat())
+        far_turn = self._ticks % FAR_EVERY_TICKS == 0
+        self._ticks += 1
+        for connection in self._connections:
+            if far_turn or connection not in self._far:
+                tell(connection, heartbeat)
+
     def _heartbeat(self):
         settings = self._context.settings
         return Heartbeat(
--- a/knapweedshed/links/peers.py
+++ b/knapweedshed/links/peers.py
@@ -1,8 +1,8 @@
 """Links between our own processes: websockets that carry CBOR messages.
 
-Each connection has an actor that sends and a thread that reads. A connection on which
-nothing came for `SILENCE_MS` is dropped and made anew: its silence says nothing about
-the peer.
+Each connection has an actor that sends and a thread that reads. A connection that was
+silent for too long is dropped and made anew: its silence says nothing about the peer.
+Between data centres heartbeats are rarer, and the limit is longer.
 """
 
 import threading
@@ -25,7 +25,8 @@
 )
 
 CONNECT_TIMEOUT_MS = 1_000
-SILENCE_MS = 3_500
+NEAR_SILENCE_MS = 3_500
+FAR_SILENCE_MS = 14_000
 RECONNECT_MS = 500
 MESSAGE_LIMIT_BYTES = 128 * 1024 * 1024
 MOST_UNSENT = 10_000
@@ -88,7 +89,7 @@
     def _handle(self, socket):
         connection = PeerConnection.start(self._context, socket)
         tell(self._receiver, PeerConnected(connection))
-        _read_all(socket, connection, self._receiver, self._context)
+        _read_all(socket, connection, self._receiver, self._context, FAR_SILENCE_MS)
         tell(self._receiver, PeerLost(connection))
         stop(connection)
 
@@ -96,9 +97,10 @@
 class PeerLink(Actor):
     """Keeps one connection to a peer's address; what can't be sent is dropped."""
 
-    def __init__(self, context, timer, address, receiver):
+    def __init__(self, context, timer, address, receiver, silence_ms=NEAR_SILENCE_MS):
         super().__init__(context)
         self._timer = timer
+        self._silence_ms = silence_ms
         self._address = address
         self._receiver = receiver
         self._socket = None
@@ -156,21 +158,23 @@
         self._timer.after(RECONNECT_MS, self.actor_ref, Tick())
 
     def _read(self, socket):
-        _read_all(socket, self.actor_ref, self._receiver, self._context)
+        _read_all(
+            socket, self.actor_ref, self._receiver, self._context, self._silence_ms
+        )
         tell(self.actor_ref, _Closed(socket))
 
 
-def _read_all(socket, connection, receiver, context):
+def _read_all(socket, connection, receiver, context, silence_ms):
     """Read until the connection ends, or is silent for too long."""
     reading = True
     while reading:
-        reading = _read_one(socket, connection, receiver, context)
+        reading = _read_one(socket, connection, receiver, context, silence_ms)
     socket.close_socket()
 
 
-def _read_one(socket, connection, receiver, context):
+def _read_one(socket, connection, receiver, context, silence_ms):
     try:
-        data = socket.recv(timeout=SILENCE_MS / MS_PER_SECOND)
+        data = socket.recv(timeout=silence_ms / MS_PER_SECOND)
     except (TimeoutError, ConnectionClosed, OSError):
         return False
     try:
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -23,7 +23,7 @@
 from knapweedshed.links.hosts import HOSTS_PERIOD_MS, HostsLink
 from knapweedshed.links.http_server import HttpServer
 from knapweedshed.links.log import LogAppender, LogTail
-from knapweedshed.links.peers import PeerLink
+from knapweedshed.links.peers import FAR_SILENCE_MS, NEAR_SILENCE_MS, PeerLink
 from knapweedshed.links.platform import create_platform
 from knapweedshed.links.runners import RunnerCaller
 from knapweedshed.models import wire
@@ -114,7 +114,11 @@
         )
         places = []
         for place, address in context.settings.schedulers:
-            link = PeerLink.start(context, timer, address, self._switchboard)
+            near = place == context.settings.data_centre
+            silence_ms = NEAR_SILENCE_MS if near else FAR_SILENCE_MS
+            link = PeerLink.start(
+                context, timer, address, self._switchboard, silence_ms
+            )
             places.append((link, place))
         self._links = tuple(link for link, _ in places)
         tell(self._homes, UseLinks(tuple(places)))
--- a/scripts/capacity_page.py
+++ b/scripts/capacity_page.py
@@ -17,6 +17,7 @@
 BUDGET_KB = 8
 TAIL_PERIOD_S = 5
 HOSTS_PERIOD_S = 2
+FAR_EVERY = 4
 
 
 def render(slopes, fit):
@@ -104,6 +105,8 @@
     leases = TASKS / WORKERS
     syncs = WORKERS / renew_s
     connections = ENTRIES * PLACES + 2
+    spoken = ENTRIES + 2 + ENTRIES * (PLACES - 1) / FAR_EVERY
+    entry_spoken = 3 + 3 * (PLACES - 1) / FAR_EVERY
     heartbeat = slopes["heartbeat"][0] + FRAME_BYTES
     hosts = WORKERS * PLACES
     hosts_kb = hosts * hosts_bytes / HOSTS_PERIOD_S / 1_000
@@ -113,7 +116,7 @@
         base
         + syncs * per_sync
         + syncs * leases * report_us / 10_000
-        + connections * per_entry
+        + spoken * per_entry
     )
     mb_slope, mb_base, _ = fit(
         [(n, v["scheduler MB"]) for n, v in slopes["by_workers"]]
@@ -130,14 +133,16 @@
         "scheduler hosts %": hosts_percent,
         "scheduler MB": mb_base + mb_slope * WORKERS + jobs_mb,
         "sync KB": syncs * sync_bytes / 1_000,
-        "heartbeat KB": 2 * connections * heartbeat / 1_000,
+        "heartbeat KB": 2 * spoken * heartbeat / 1_000,
         "hosts KB": hosts_kb,
-        "entry %": idle_entry + 3 * PLACES * per_entry,
+        "entry %": idle_entry + entry_spoken * per_entry,
         "entry request %": entry_rate * SHORT_A_SECOND,
         "entry MB": entry_mb,
-        "entry heartbeat KB": 2 * 3 * PLACES * heartbeat / 1_000,
+        "entry heartbeat KB": 2 * entry_spoken * heartbeat / 1_000,
         "connections": connections,
-        "heartbeat %": connections * per_entry,
+        "heartbeat %": spoken * per_entry,
+        "spoken": spoken,
+        "entry spoken": entry_spoken,
         "syncs": syncs,
     }
 
@@ -156,9 +161,9 @@
 
 | role | state | messages a second | processor, % of a core | memory, MB | control, KB/s |
 |---|---|---|---|---|---|
-| acting scheduler | {WORKERS} workers' reports, {TASKS} attempts, a day's ledger of {JOBS_A_DAY // PLACES} jobs, 35 teams | {f["syncs"]:.1f} syncs, {2 * f["connections"]:.0f} heartbeats on {f["connections"]:.0f} connections, {2 / TAIL_PERIOD_S:.1f} log reads, {1 / HOSTS_PERIOD_S:.1f} host lists | {_mark(f["scheduler %"] + f["scheduler hosts %"], BUDGET_PERCENT)} (of it host list {f["scheduler hosts %"]:.2f}) | {_mark(f["scheduler MB"], BUDGET_MB)} | {_mark(f["sync KB"] + f["heartbeat KB"] + f["hosts KB"], BUDGET_KB)} (syncs {f["sync KB"]:.1f}, heartbeats {f["heartbeat KB"]:.1f}, host list {f["hosts KB"]:.1f}) |
+| acting scheduler | {WORKERS} workers' reports, {TASKS} attempts, a day's ledger of {JOBS_A_DAY // PLACES} jobs, 35 teams | {f["syncs"]:.1f} syncs, {2 * f["spoken"]:.0f} heartbeats on {f["connections"]:.0f} connections, {2 / TAIL_PERIOD_S:.1f} log reads, {1 / HOSTS_PERIOD_S:.1f} host lists | {_mark(f["scheduler %"] + f["scheduler hosts %"], BUDGET_PERCENT)} (of it host list {f["scheduler hosts %"]:.2f}) | {_mark(f["scheduler MB"], BUDGET_MB)} | {_mark(f["sync KB"] + f["heartbeat KB"] + f["hosts KB"], BUDGET_KB)} (syncs {f["sync KB"]:.1f}, heartbeats {f["heartbeat KB"]:.1f}, host list {f["hosts KB"]:.1f}) |
 | standby scheduler | the same, without renewals | as above: it watches every worker too | as above, less renewals | as above | as above |
-| entry | requests under way, watches, 35 teams, runners' loads | {2 * 3 * PLACES} heartbeats on {3 * PLACES} connections, {1 / TAIL_PERIOD_S:.1f} log reads, {1 / HOSTS_PERIOD_S:.1f} host lists | {_mark(f["entry %"] + f["scheduler hosts %"], BUDGET_PERCENT)}; callers' work on top: {f["entry request %"]:.1f} at {SHORT_A_SECOND} short requests a second | {_mark(f["entry MB"], BUDGET_MB)} | {_mark(f["entry heartbeat KB"] + f["hosts KB"], BUDGET_KB)} (heartbeats {f["entry heartbeat KB"]:.1f}, host list {f["hosts KB"]:.1f}) |
+| entry | requests under way, watches, 35 teams, runners' loads | {2 * f["entry spoken"]:.0f} heartbeats on {3 * PLACES} connections, {1 / TAIL_PERIOD_S:.1f} log reads, {1 / HOSTS_PERIOD_S:.1f} host lists | {_mark(f["entry %"] + f["scheduler hosts %"], BUDGET_PERCENT)}; callers' work on top: {f["entry request %"]:.1f} at {SHORT_A_SECOND} short requests a second | {_mark(f["entry MB"], BUDGET_MB)} | {_mark(f["entry heartbeat KB"] + f["hosts KB"], BUDGET_KB)} (heartbeats {f["entry heartbeat KB"]:.1f}, host list {f["hosts KB"]:.1f}) |
 | platform's log | {CHANGES_A_DAY} entries and {per_job} to 5 records a job a day, chunks of large inputs, snapshots | {jobs_s * per_job + CHANGES_A_DAY / SECONDS_A_DAY:.2f} appends on the day's mean | the platform's | the platform's | the platform's |
 | client | one request | one long poll a caller, renewed every 5 s | not a daemon: no budget | not a daemon: no budget | the answer's bytes |
 
@@ -260,8 +265,9 @@
   standby reading from the acting scheduler instead of from every worker.
 - **Heartbeats.** {f["heartbeat KB"]:.1f} KB/s and {f["heartbeat %"]:.1f}% of a core at a
   scheduler, the largest part of its processor time, as each entry of each data
-  centre connects to every scheduler and both sides speak each second. What will carry it:
-  each 5 s across data centres, where nothing is decided by them.
+  centre connects to every scheduler. Both sides speak each second within a data centre
+  and each {FAR_EVERY} s across, where nothing is decided by them; what will carry the
+  rest: an entry needs the acting scheduler of each far data centre only.
 - **Threads.** Two a worker at a scheduler: {2 * WORKERS} at {WORKERS} workers, and one for
   each of {f["connections"]:.0f} connections. They sleep, and cost memory only (in the slope
   above); beyond 500 workers a data centre would need links that share a thread.
