Move small guaranteed work out of another's large shape

Ruled out: claims, reservations and left-out workers. Change: while the guarantees can't all be packed, reclaimable guaranteed jobs of the cheapest workers count as borrowers as long as that lowers the deficit.

--- a/knapweedshed/decisions/guarantees.py
+++ b/knapweedshed/decisions/guarantees.py
@@ -58,9 +58,11 @@
     return Entitlement(_sorted(cells), tuple(racks))
 
 
-def split_running(organisation, data_centre, running):
+def split_running(organisation, data_centre, running, movable=frozenset()):
     """Return (entitlement left, ids of the jobs that run guaranteed).
 
+    Jobs in `movable` are counted as borrowers, whatever is left.
+
     Settled from facts that every scheduler sees alike: jobs that can't be reclaimed
     first, then by start time and id.
     """
@@ -70,6 +72,8 @@
         running, key=lambda job: (job.reclaimable, job.started_ms, job.job_id)
     )
     for job in order:
+        if job.job_id in movable:
+            continue
         after = consume(left, job.shape)
         if after is not None:
             left = after
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -19,6 +19,8 @@
 LONGEST_SCAN = 2_000
 MOST_RESERVATIONS = 2
 MOST_ALTERNATIVES = 4
+MOST_MOVES = 32
+LARGEST_COST = 1 << 60
 
 
 class Planner(ABC):
@@ -104,11 +106,8 @@
         self._launches = []
         self._reclaims = []
         self._refusals = []
-        self._split_organisations()
-        self._available = self._available_masks()
-        self._capacity = Capacity(
-            (worker.rack, self._available[worker.name]) for worker in situation.workers
-        )
+        self._settle_borrowers(frozenset())
+        self._make_movable()
         self._covered_claims = set()
         self._commit_claims()
 
@@ -124,7 +123,53 @@
             tuple(self._launches), tuple(self._reclaims), tuple(self._refusals), unmet
         )
 
-    def _split_organisations(self):
+    def _settle_borrowers(self, movable):
+        self._borrowers = []
+        self._split_organisations(movable)
+        self._available = self._available_masks()
+        self._capacity = Capacity(
+            (worker.rack, self._available[worker.name])
+            for worker in self._situation.workers
+        )
+
+    def _make_movable(self):
+        """Let guaranteed work be moved where it breaks up another's larger shape.
+
+        Small guaranteed jobs may stand in as many workers as there are. A worker's
+        reclaimable ones count as borrowers, the cheapest worker first, as long as that
+        brings the deficit down; what is stopped so starts again where it breaks less.
+        """
+        deficit = self._deficit()
+        movable = frozenset()
+        for jobs in self._cheapest_workers()[:MOST_MOVES]:
+            if not deficit:
+                return
+            more = movable | jobs
+            self._settle_borrowers(more)
+            if self._deficit() < deficit:
+                deficit, movable = self._deficit(), more
+        if deficit or movable:
+            self._settle_borrowers(movable)
+
+    def _cheapest_workers(self):
+        """Return, worker by worker, the reclaimable jobs that run guaranteed there."""
+        if not self._deficit():
+            return []
+        lent = {job.job_id for job in self._borrowers}
+        costs = {}
+        jobs = {}
+        for job in self._situation.running:
+            if job.job_id in lent:
+                continue
+            for place in job.placements:
+                cost = job.reclaim_cost if job.reclaimable else LARGEST_COST
+                costs[place.worker] = costs.get(place.worker, 0) + cost
+                jobs.setdefault(place.worker, set()).add(job.job_id)
+        names = [name for name in jobs if costs[name] < LARGEST_COST]
+        names.sort(key=lambda name: (costs[name], name))
+        return [frozenset(jobs[name]) for name in names]
+
+    def _split_organisations(self, movable):
         situation = self._situation
         by_organisation = {}
         for job in situation.running:
@@ -133,7 +178,7 @@
         for organisation in situation.organisations:
             running = by_organisation.get(organisation.name, ())
             left, guaranteed = split_running(
-                organisation, situation.data_centre, running
+                organisation, situation.data_centre, running, movable
             )
             self._left[organisation.name] = left
             self._used[organisation.name] = sum(job.shape.total for job in running)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -192,6 +192,17 @@
         made = plan([worker("a", 0)], run, wait, (owner(4), BORROWER), (claim,))
         self.assertEqual(made.reclaims, ())
 
+    def test_small_guaranteed_work_is_moved_out_of_anothers_large_shape(self):
+        single = Organisation("single", ("north",), (("north", Shape(1, 1), 2),))
+        run = [
+            running("s1", "single", Shape(1, 1), (place("a", 0),), 5),
+            running("s2", "single", Shape(1, 1), (place("b", 0),), 9),
+        ]
+        wait = [waiting("mine", "owner", Shape(1, 8))]
+        workers = [worker("a", 0b1111_1110), worker("b", 0b1111_1110)]
+        made = plan(workers, run, wait, (owner(8), single))
+        self.assertEqual([r.victims for r in made.reclaims], [("s1",)])
+
     def test_an_impossible_shape_is_refused_with_its_reason(self):
         wait = [waiting("huge", "owner", Shape(3, 8))]
         made = plan([worker("a"), worker("b")], (), wait, (owner(8),))
