Test slow, half-closed and oversized senders

Change: 100 senders that stall or close half-way beside one urgent check, and a body one byte over the limit.

--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -12,7 +12,9 @@
 
 from examples.cluster import BINARIES, Cluster, command, get_json, post_json
 from knapweedshed.clock import create_clock
+from knapweedshed.filters.admission import MOST_BODY_BYTES
 from knapweedshed.links.entry_client import EntryClient, Work
+from knapweedshed.results import ResultCode
 from knapweedshed.settings import COMMON, SettingsError, load_settings
 from knapweedshed.status import ExitStatus
 
@@ -153,6 +155,33 @@
                 post_json(url, {})
             self.assertEqual(caught.exception.code, 400)
 
+    def test_slow_and_half_closed_senders_cost_no_other_caller_anything(self):
+        host, port = self.entries[0].split(":")
+        path = "/v1/organisations/chariot-planning/services/cart-check/jobs"
+        head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\nbre"
+        slow = [socket.create_connection((host, int(port))) for _ in range(100)]
+        for number, sender in enumerate(slow):
+            sender.sendall(head.encode())
+            if number % 2:
+                sender.shutdown(socket.SHUT_WR)
+        client = EntryClient(create_clock(), self.entries[:1])
+        work = Work("chariot-planning", "cart-check", "", b"bread,3,3\n")
+        began = time.monotonic()
+        answered = client.run(work, 6_100)
+        took = time.monotonic() - began
+        client.close()
+        for sender in slow:
+            sender.close()
+        self.assertEqual(answered.body, b"seal\n")
+        self.assertLess(took, 6.1)
+
+    def test_a_body_that_is_too_large_has_its_code(self):
+        client = EntryClient(create_clock(), self.entries[:1])
+        body = bytes(MOST_BODY_BYTES + 1)
+        answered = client.run(Work("chariot-planning", "cart-check", "", body), 20_000)
+        client.close()
+        self.assertEqual(answered.code, ResultCode.BODY_TOO_LARGE, answered.reason)
+
     def test_a_configuration_that_is_not_json_is_refused(self):
         done = subprocess.run(
             [
