--- a/knapweedshed/controllers/configuration.py
+++ b/knapweedshed/controllers/configuration.py
@@ -54,6 +54,7 @@
         self._readable = False
         self._acting = False
         self._snapshot_at = -1
+        self._snapshot_gap = False
         self._snapshot_ms = context.clock.now_ms()
         self._waiting = {}
 
@@ -154,8 +155,10 @@
             plain = text.loads(record.body)
         except text.TextError:
             plain = None
-        if isinstance(plain, dict) and "snapshot" in plain:
+        through = _snapshot_through(plain)
+        if through is not None:
             self._snapshot_at = record.offset
+            self._snapshot_gap = through < record.offset - 1
             self._snapshot_ms = self._context.clock.now_ms()
         if self._held or record.offset > self._fold.through + 1:
             self._held.append((record.offset, plain))
@@ -168,7 +171,7 @@
             return
         first = self._held[0][0]
         for _, plain in reversed(self._held):
-            if isinstance(plain, dict) and "snapshot" in plain:
+            if _snapshot_through(plain) is not None:
                 held = text.message_from(plain["snapshot"])
                 if held.offset >= first - 1:
                     self._fold = folds.adopt(self._fold, held)
@@ -214,14 +217,22 @@
             self._write_snapshot()
 
     def _write_snapshot(self):
+        """Write a snapshot where one is due.
+
+        One that other records got before is written again: it would not reach back
+        to its own place once retention has dropped them.
+        """
         through = self._fold.through
-        if not self._acting or self._snapshot_at >= through or through < 0:
+        if not self._acting or through < 0:
+            return
+        if self._snapshot_at >= through and not self._snapshot_gap:
             return
         now_ms = self._context.clock.now_ms()
-        many = through - self._snapshot_at >= SNAPSHOT_EVERY
+        many = through - self._snapshot_at >= SNAPSHOT_EVERY or self._snapshot_gap
         if not many and now_ms - self._snapshot_ms < SNAPSHOT_PERIOD_MS:
             return
         self._snapshot_at = through
+        self._snapshot_gap = False
         self._snapshot_ms = now_ms
         body = text.dumps(
             {
@@ -233,3 +244,10 @@
             STREAM, f"snapshot-{self._context.new_id()}", body, self.actor_ref
         )
         tell(self._appender, record)
+
+
+def _snapshot_through(plain):
+    """Return the offset that a snapshot stands for; None where it is no snapshot."""
+    snapshot = plain.get("snapshot") if isinstance(plain, dict) else None
+    offset = snapshot.get("offset") if isinstance(snapshot, dict) else None
+    return offset if isinstance(offset, int) else None
