Drop messages that nothing sends, and count the deficit once

Cause: reading the whole change again. Five message types were never sent; two branches of a lost lease were the same; each planning step worked out the packing deficit three times where none was missing. Change: they are gone; the planner leaves early when nothing is missing. Behaviour as before.

--- a/knapweedshed/controllers/messages.py
+++ b/knapweedshed/controllers/messages.py
@@ -7,9 +7,7 @@
 from knapweedshed.models.jobs import Job, JobStatus
 from knapweedshed.models.ledger import OpenJob
 from knapweedshed.models.planning import Launch
-from knapweedshed.models.shapes import Placement
 from knapweedshed.models.workers import Host, WorkerReport
-from knapweedshed.results import Result
 
 
 class Tick(NamedTuple):
@@ -172,10 +170,6 @@
     started_wall_ms: int
 
 
-class Recovered(NamedTuple):
-    """The scheduler knows what runs; planning may begin."""
-
-
 class JobsFolded(NamedTuple):
     """Facts from the ledger, in order."""
 
@@ -201,13 +195,6 @@
     record: Any
 
 
-class EndJob(NamedTuple):
-    """Record a job's end."""
-
-    ended: Any
-    direct: bool = False
-
-
 class TakeDirect(NamedTuple):
     """Take an idempotent job that came without the log."""
 
@@ -261,27 +248,7 @@
     message: Any
 
 
-class PeerMessages(NamedTuple):
-    """Which actors take which messages that come from other processes."""
-
-    receivers: tuple
-
-
 class Draining(NamedTuple):
     """Stop taking new work; `reply` is set when nothing is left in hand."""
 
     reply: Any
-
-
-class PlacementGiven(NamedTuple):
-    """Where a job's members are, for status rows."""
-
-    job_id: str
-    placements: tuple[Placement, ...]
-
-
-class RefuseJob(NamedTuple):
-    """A job that can never run."""
-
-    job_id: str
-    result: Result
--- a/knapweedshed/decisions/attempts.py
+++ b/knapweedshed/decisions/attempts.py
@@ -148,8 +148,6 @@
     attempt = _set(attempt, event.member, cleared=GONE)
     if attempt.phase == Phase.CLEARING:
         return _settle(attempt)
-    if attempt.phase == Phase.STOPPING:
-        return clear(attempt, Outcome.LOST, event.reason)
     return clear(attempt, Outcome.LOST, event.reason)
 
 
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -140,6 +140,8 @@
         brings the deficit down; what is stopped so starts again where it breaks less.
         """
         deficit = self._deficit()
+        if not deficit:
+            return
         movable = frozenset()
         for jobs in self._cheapest_workers()[:MOST_MOVES]:
             if not deficit:
@@ -148,13 +150,10 @@
             self._settle_borrowers(more)
             if self._deficit() < deficit:
                 deficit, movable = self._deficit(), more
-        if deficit or movable:
-            self._settle_borrowers(movable)
+        self._settle_borrowers(movable)
 
     def _cheapest_workers(self):
         """Return, worker by worker, the reclaimable jobs that run guaranteed there."""
-        if not self._deficit():
-            return []
         lent = {job.job_id for job in self._borrowers}
         costs = {}
         jobs = {}
