Serve whole jobs on the users' platform: the path from caller to worker and back

Cause: the product knew one gang of shapes in one data centre and one present platform; the users' jobs are steps, tasks and runs over a service. Change: models of jobs, steps, tasks and runs; the fold over the work stream; pure decisions for leadership, fleet, packing, order, preemption and dispatch; an entry and scheduling controller; links to workers and feeds; knapweedshed/platform translates. Conclusion: the path holds; half of urgent work is late, as worker speeds aren't learned.

--- a/knapweedshed/codecs/catalogue.py
+++ b/knapweedshed/codecs/catalogue.py
@@ -1,7 +1,16 @@
 """Registers every message that crosses a process boundary."""
 
 from knapweedshed.codecs.plain import register
-from knapweedshed.models import configuration, jobs, ledger, shapes, wire, workers
+from knapweedshed.models import (
+    configuration,
+    jobs,
+    ledger,
+    shapes,
+    wire,
+    work,
+    work_records,
+    workers,
+)
 
 
 def register_all():
@@ -13,3 +22,5 @@
     register(workers.Host, workers.Labels, workers.Lease, workers.WorkerReport)
     register(*ledger.RECORDS)
     register(*wire.MESSAGES)
+    register(work.Resources, work.Step, work.WorkJob, work.Task, work.Unit)
+    register(work.TaskEnd, *work_records.RECORDS)
--- a/knapweedshed/codecs/text.py
+++ b/knapweedshed/codecs/text.py
@@ -38,6 +38,11 @@
         raise TextError(f"not a known message: {error}") from error
 
 
+def bytes_of(value):
+    """Return the bytes behind base64 text; raises ValueError."""
+    return base64.b64decode(value, validate=True)
+
+
 def _bytes_to_text(value):
     if isinstance(value, bytes):
         return {_BYTES_KEY: base64.b64encode(value).decode("ascii")}
--- /dev/null
+++ b/knapweedshed/controllers/scheduling.py
@@ -0,0 +1,406 @@
+"""Owns the scheduler's role at a host: claims it, acts under it, gives it up.
+
+All decisions are the `Dispatcher`'s and `leadership`'s; this controller turns messages
+into their calls, and what they ask for into messages.
+"""
+
+from functools import singledispatchmethod
+
+from knapweedshed.actors import tell
+from knapweedshed.codecs import text
+from knapweedshed.controllers.base import Controller
+from knapweedshed.controllers.messages import (
+    AppendFailed,
+    AppendRecord,
+    LogUnreadable,
+    RecordsRead,
+    Tick,
+)
+from knapweedshed.controllers.work_messages import (
+    ConfigurationInForce,
+    HoldAnswered,
+    Leave,
+    Order,
+    OrderAnswered,
+    PlanNow,
+    WorkersListed,
+)
+from knapweedshed.controllers.work_stream import decode_records
+from knapweedshed.decisions.dispatch import Bounds, Dispatcher
+from knapweedshed.decisions.leadership import (
+    BEAT_MS,
+    JITTER_MS,
+    TERM_MS,
+    Standing,
+    acts,
+    may_order,
+    should_claim,
+)
+from knapweedshed.decisions.work_ledger import WorkLedger
+from knapweedshed.decisions.work_order import create_work_order
+from knapweedshed.links.platform import FAILURES
+from knapweedshed.links.worker_links import WorkerLinks
+from knapweedshed.models.service import ServiceConfiguration
+from knapweedshed.models.work_orders import (
+    REASON_FENCE,
+    RecordEnds,
+    RecordLaunches,
+)
+from knapweedshed.models.work_records import (
+    WORK_STREAM,
+    ActingBeat,
+    ActingClaimed,
+    ActingResigned,
+    RunsLaunched,
+    TasksEnded,
+)
+
+LOG_PAUSE_MS = 300  # after a refused append, before anything new is launched
+TICK_MS = 200
+
+
+class SchedulingController(Controller):
+    """Folds the work stream; while the log says so, schedules what stands in it."""
+
+    def __init__(self, context, timer, platform, appender, settings):
+        super().__init__(context)
+        self._timer = timer
+        self._appender = appender
+        self._bounds = Bounds(settings.lease_ms, TERM_MS, settings.early_ms)
+        self._host = f"{settings.name}/{context.process_id}"
+        self._ledger = WorkLedger()
+        self._configuration = ServiceConfiguration()
+        self._entries = ()
+        self._dispatcher = None
+        self._links = WorkerLinks(context, timer, platform, self.actor_ref)
+        self._appends = {}
+        self._read_ms = context.clock.now_ms()
+        self._heard_ms = self._read_ms
+        self._caught_up = False
+        self._claimed_ms = -1
+        self._jitter_ms = self._new_jitter()
+        self._beat_ms = 0
+        self._log_pause_until_ms = 0
+        self._leaving = None
+        self._fenced_epoch = 0
+        self._planning = False
+
+    def on_stop(self):
+        """Stop the links to workers."""
+        self._links.close()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def configure(self, message: ConfigurationInForce):
+        """Take a newer configuration."""
+        self._configuration = message.configuration
+        if self._dispatcher is not None:
+            self._dispatcher.configure(message.configuration)
+            self._plan_soon()
+
+    @receive.register
+    def records(self, message: RecordsRead):
+        """Fold a page; act on what it says of our own records."""
+        now_ms = self._now_ms()
+        self._read_ms = now_ms
+        if message.caught_up and not self._caught_up:
+            self._caught_up = True
+            self._heard_ms = now_ms
+        changed = []
+        ours = []
+        for offset, record_id, record in decode_records(self._context, message):
+            changed.extend(self._fold(offset, record))
+            if self._appends.pop(record_id, None) is not None:
+                ours.append(record)
+        self._check_role()
+        if self._dispatcher is None:
+            return
+        for record in ours:
+            self._take_own(record)
+        self._do(self._dispatcher.take_fold(changed))
+        self._plan_soon()
+
+    @receive.register
+    def unreadable(self, message: LogUnreadable):
+        """Nothing new is known of the role; its age decides."""
+        self._context.metrics.count("work_stream.failures")
+
+    @receive.register
+    def workers(self, message: WorkersListed):
+        """Take the platform's list."""
+        self._entries = message.entries
+        if self._dispatcher is not None:
+            self._take_entries()
+            self._plan_soon()
+
+    @receive.register
+    def hold_answered(self, message: HoldAnswered):
+        """Take a worker's lists, and hold it again."""
+        if self._dispatcher is None or message.fence != self._ledger.epoch:
+            return
+        answer = message.answer
+        if isinstance(answer, FAILURES):
+            self._hold_failed(message.worker_id, answer)
+            return
+        now_ms = self._now_ms()
+        actions = self._dispatcher.take_lists(
+            message.worker_id, answer, message.sent_ms, now_ms
+        )
+        self._do(actions)
+        self._do(self._dispatcher.pending_records(now_ms))
+        self._hold(message.worker_id)
+        self._plan_soon()
+
+    @receive.register
+    def order_answered(self, message: OrderAnswered):
+        """Take what came of an order."""
+        if self._dispatcher is None or message.fence != self._ledger.epoch:
+            return
+        if message.outcome.reason == REASON_FENCE:
+            self._fenced()
+            return
+        order, outcome = message.order, message.outcome
+        if outcome.kind != "done":
+            self._context.logger.info(
+                "order not done",
+                extra={
+                    "job": order.task.job_id,
+                    "task": list(order.task[1:]),
+                    "run": order.run,
+                    "order": type(order).__name__,
+                    "worker": order.worker_id,
+                    "outcome": outcome.kind,
+                    "reason": outcome.reason,
+                },
+            )
+        self._do(self._dispatcher.take_outcome(order, outcome, self._now_ms()))
+        self._plan_soon()
+
+    @receive.register
+    def not_appended(self, message: AppendFailed):
+        """Repeat what may have been written; take back what certainly was not."""
+        record = self._appends.get(message.record_id)
+        if record is None:
+            return
+        self._log_pause_until_ms = self._now_ms() + LOG_PAUSE_MS
+        if isinstance(record, RunsLaunched) and message.unknown:
+            again = self._append_message(message.record_id, record)
+            self._timer.after(LOG_PAUSE_MS, self._appender, again)
+            return
+        del self._appends[message.record_id]
+        if isinstance(record, RunsLaunched) and self._dispatcher is not None:
+            self._dispatcher.launches_lost(record.launches)
+
+    @receive.register
+    def tick(self, message: Tick):
+        """Claim, beat, let leases lapse, repeat what had no answer."""
+        now_ms = self._now_ms()
+        standing = self._standing()
+        if should_claim(standing, now_ms, self._jitter_ms):
+            self._claimed_ms = now_ms
+            self._jitter_ms = self._new_jitter()
+            self._append(ActingClaimed(self._ledger.epoch + 1, self._host))
+        if self._dispatcher is None:
+            return
+        if now_ms - self._beat_ms >= BEAT_MS:
+            self._beat_ms = now_ms
+            self._append(ActingBeat(self._ledger.epoch))
+        self._do(self._dispatcher.tick(now_ms))
+        self._plan_soon()
+
+    @receive.register
+    def plan(self, message: PlanNow):
+        """Plan with all that has been heard."""
+        self._planning = False
+        now_ms = self._now_ms()
+        if self._dispatcher is None or now_ms < self._log_pause_until_ms:
+            return
+        wall_ms = self._context.clock.wall_ms()
+        self._do(self._dispatcher.plan(now_ms, wall_ms))
+
+    @receive.register
+    def leave(self, message: Leave):
+        """Resign, so that another host claims at once."""
+        self._leaving = message.reply
+        if self._dispatcher is None:
+            message.reply.set(True)
+            return
+        self._append(ActingResigned(self._ledger.epoch))
+
+    def dump(self):
+        """Return the role, and what is at each worker."""
+        workers = {}
+        if self._dispatcher is not None:
+            workers = {
+                name: len(belief.members)
+                for name, belief in self._dispatcher.workers.items()
+            }
+        return {
+            "host": self._host,
+            "acts": self._dispatcher is not None,
+            "epoch": self._ledger.epoch,
+            "workers": workers,
+        }
+
+    def _fold(self, offset, record):
+        epoch = self._ledger.epoch
+        changed = self._ledger.fold(offset, record)
+        if getattr(record, "epoch", -1) == self._ledger.epoch:
+            self._heard_ms = self._now_ms()
+        if self._ledger.epoch != epoch:
+            self._context.logger.info(
+                "role claimed",
+                extra={"epoch": self._ledger.epoch, "host": self._ledger.acting_host},
+            )
+        return changed
+
+    def _take_own(self, record):
+        if getattr(record, "epoch", -1) != self._ledger.epoch:
+            return
+        if isinstance(record, TasksEnded):
+            self._dispatcher.ends_read(record.ends)
+        elif isinstance(record, RunsLaunched):
+            now_ms = self._now_ms()
+            self._do(self._dispatcher.launches_read(record.launches, now_ms))
+
+    def _check_role(self):
+        """Begin or end a term, as the log says."""
+        acting = acts(self._standing()) and self._fenced_epoch < self._ledger.epoch
+        current = self._dispatcher is not None
+        if current and (not acting or self._term_epoch != self._ledger.epoch):
+            self._end_term("the log names another")
+            current = False
+        if acting and not current and self._leaving is None:
+            self._begin_term()
+
+    def _begin_term(self):
+        self._term_epoch = self._ledger.epoch
+        self._dispatcher = Dispatcher(
+            self._ledger, self._bounds, create_work_order(), self._now_ms()
+        )
+        self._context.logger.info(
+            "acting",
+            extra={
+                "epoch": self._ledger.epoch,
+                "taken_up": len(self._dispatcher.runs),
+                "workers": len(self._entries),
+            },
+        )
+        if self._configuration.version >= 0:
+            self._dispatcher.configure(self._configuration)
+        if self._entries:
+            self._take_entries()
+
+    def _end_term(self, reason):
+        self._context.logger.info(
+            "not acting any more", extra={"epoch": self._term_epoch, "reason": reason}
+        )
+        self._dispatcher = None
+        self._appends = {}
+        self._links.close()
+        if self._leaving is not None:
+            self._leaving.set(True)
+
+    def _fenced(self):
+        """A worker has seen a higher fence: another acts, as the log will say."""
+        self._fenced_epoch = self._ledger.epoch
+        self._end_term("a worker has seen a higher fence")
+
+    def _take_entries(self):
+        self._do(self._dispatcher.list_workers(self._entries, self._now_ms()))
+        for worker_id in self._links.match(self._dispatcher.workers):
+            self._hold(worker_id)
+
+    def _hold(self, worker_id):
+        belief = self._dispatcher.workers.get(worker_id)
+        if belief is None or belief.entry is None:
+            self._links.drop(worker_id)
+            return
+        now_ms = self._now_ms()
+        if not may_order(self._standing(), now_ms):
+            self._links.hold_later(worker_id, self._ledger.epoch, 0, 0)
+            return
+        deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, now_ms)
+        self._links.hold(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
+
+    def _hold_failed(self, worker_id, failure):
+        if failure.reason == REASON_FENCE:
+            self._fenced()
+            return
+        self._context.metrics.count("holds.failures")
+        belief = self._dispatcher.workers.get(worker_id)
+        if belief is None or belief.entry is None:
+            self._links.drop(worker_id)
+            return
+        deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, self._now_ms())
+        self._links.hold_later(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
+
+    def _do(self, actions):
+        for action in actions:
+            if isinstance(action, RecordEnds):
+                self._append(TasksEnded(self._ledger.epoch, action.ends))
+            elif isinstance(action, RecordLaunches):
+                self._log_launches(action.launches)
+                self._append(RunsLaunched(self._ledger.epoch, action.launches))
+            elif may_order(self._standing(), self._now_ms()):
+                self._links.order(Order(action, self._ledger.epoch))
+            else:
+                late = OrderAnswered(action, self._ledger.epoch, _not_given())
+                self._timer.after(LOG_PAUSE_MS, self.actor_ref, late)
+
+    def _log_launches(self, launches):
+        for launched in launches:
+            self._context.logger.info(
+                "launch",
+                extra={
+                    "job": launched.unit.job_id,
+                    "unit": list(launched.unit[1:]),
+                    "run": launched.run,
+                    "workers": [worker_id for worker_id, _ in launched.workers],
+                },
+            )
+
+    def _append(self, record):
+        record_id = self._context.new_id()
+        self._appends[record_id] = record
+        tell(self._appender, self._append_message(record_id, record))
+
+    def _append_message(self, record_id, record):
+        return AppendRecord(WORK_STREAM, record_id, text.dumps(record), self.actor_ref)
+
+    def _plan_soon(self):
+        if not self._planning and self._dispatcher is not None:
+            self._planning = True
+            self.actor_ref.tell(PlanNow())
+
+    def _standing(self):
+        acting_host = self._ledger.acting_host
+        if acting_host.split("/")[0] == self._host.split("/")[0]:
+            if acting_host != self._host:
+                acting_host = ""
+        return Standing(
+            self._host,
+            self._ledger.epoch,
+            acting_host,
+            self._caught_up,
+            self._heard_ms,
+            self._read_ms,
+            self._claimed_ms,
+            self._leaving is not None,
+        )
+
+    def _new_jitter(self):
+        return self._context.random.randrange(JITTER_MS)
+
+    def _now_ms(self):
+        return self._context.clock.now_ms()
+
+
+def _not_given():
+    from knapweedshed.models.work_orders import UNKNOWN, OrderOutcome
+
+    return OrderOutcome(UNKNOWN, "no word from the log")
--- /dev/null
+++ b/knapweedshed/decisions/planning_units.py
@@ -0,0 +1,231 @@
+"""One planning step: who starts where, and who gives way."""
+
+from typing import NamedTuple
+
+from knapweedshed.decisions.fleet import MemberPhase
+from knapweedshed.decisions.packing import Site, place
+from knapweedshed.decisions.preemption import Holding, choose_victims
+from knapweedshed.decisions.units import step_of
+from knapweedshed.decisions.work_order import LATE_FACTOR, WaitingUnit, work_of
+from knapweedshed.models.work import GANG, Resources
+
+URGENT_PRIORITY = 0
+MS_PER_SECOND = 1_000
+RACK_MARK = "r"
+
+
+class UnitPlan(NamedTuple):
+    """Units to start with the workers of their tasks, and units to stop."""
+
+    starts: tuple
+    victims: tuple
+
+
+class UnitPlanner:
+    """Places waiting units in the order of a `WorkOrder`, urgent work by preemption."""
+
+    def __init__(self, order):
+        self._order = order
+
+    def plan(self, waiting, ledger, workers, runs, configuration, now_ms, wall_ms):
+        """Return a `UnitPlan`."""
+        views = _waiting_views(waiting, ledger, runs, configuration, now_ms, wall_ms)
+        views.sort(key=lambda view: self._order.key(view, now_ms))
+        room = Room(workers, runs, now_ms)
+        starts = []
+        victims = []
+        for view in views:
+            placed = room.take_now(view)
+            if placed:
+                starts.append((view.unit, placed))
+            elif view.priority == URGENT_PRIORITY and not room.reserve(view):
+                chosen = choose_victims(
+                    view.step,
+                    view.count,
+                    room.sites_soon(view),
+                    _holdings(view, ledger, runs, victims, now_ms),
+                )
+                if chosen:
+                    victims.extend(chosen)
+                    room.give_back(chosen)
+                    room.reserve(view)
+        return UnitPlan(tuple(starts), tuple(victims))
+
+
+class Room:
+    """Free capacity now, and once everything that is being stopped has ended."""
+
+    def __init__(self, workers, runs, now_ms):
+        self._runs = runs
+        self._workers = {
+            worker_id: belief
+            for worker_id, belief in workers.items()
+            if belief.usable(now_ms)
+        }
+        self._now = {}
+        self._soon = {}
+        self._placed = {}
+        for worker_id, belief in self._workers.items():
+            free = belief.free()
+            self._now[worker_id] = free
+            for member in belief.members.values():
+                if member.phase == MemberPhase.STOPPING:
+                    free = free.plus(member.need)
+            self._soon[worker_id] = free
+        self._residents = _residents(self._workers)
+
+    def take_now(self, view):
+        """Take places that are free now and not reserved; return worker ids or ()."""
+        sites = self._sites(view, self._both)
+        chosen = place(view.step, view.count, sites)
+        if chosen:
+            self._subtract(view, chosen, now=True)
+        return chosen
+
+    def reserve(self, view):
+        """Keep places that will be free soon; return them, or ()."""
+        chosen = place(view.step, view.count, self.sites_soon(view))
+        if chosen:
+            self._subtract(view, chosen, now=False)
+        return chosen
+
+    def sites_soon(self, view):
+        """Return the sites as they are once all stops have ended."""
+        return self._sites(view, self._soon.get)
+
+    def give_back(self, units):
+        """Count what victims hold as free soon."""
+        for unit in units:
+            run = self._runs[unit]
+            for task, worker_id in run.where.items():
+                if worker_id not in self._workers:
+                    continue
+                member = self._workers[worker_id].members.get((task, run.run))
+                if member is not None and member.phase != MemberPhase.STOPPING:
+                    self._soon[worker_id] = self._soon[worker_id].plus(member.need)
+
+    def _both(self, worker_id):
+        now, soon = self._now[worker_id], self._soon[worker_id]
+        return Resources(*(min(pair) for pair in zip(now, soon, strict=True)))
+
+    def _sites(self, view, free_of):
+        key = (view.unit.job_id, view.unit.occurrence, view.unit.step)
+        return [
+            Site(
+                worker_id,
+                rack_of(belief.entry.labels),
+                belief.entry.labels,
+                free_of(worker_id),
+                1.0,
+                self._residents.get((worker_id, *key), 0),
+            )
+            for worker_id, belief in self._workers.items()
+            if belief.entry.service == view.service
+        ]
+
+    def _subtract(self, view, chosen, now):
+        key = (view.unit.job_id, view.unit.occurrence, view.unit.step)
+        for worker_id in chosen:
+            self._soon[worker_id] = self._soon[worker_id].minus(view.step.need)
+            if now:
+                self._now[worker_id] = self._now[worker_id].minus(view.step.need)
+            resident = self._residents.get((worker_id, *key), 0)
+            self._residents[worker_id, *key] = resident + 1
+
+
+def rack_of(labels):
+    """Return the rack among a worker's labels, or ""."""
+    for label in labels:
+        if label.startswith(RACK_MARK) and "-" in label:
+            return label
+    return ""
+
+
+def chain_ms(progress, occurrence):
+    """Return the estimated work left on the longest chain of steps."""
+    job = progress.job
+    longest = []
+    for number, step in enumerate(job.steps):
+        before = max((longest[index] for index in step.after), default=0)
+        own = 0 if progress.step_done(occurrence, number) else step.estimate_ms
+        longest.append(before + own)
+    return max(longest, default=0)
+
+
+def _residents(workers):
+    count = {}
+    for worker_id, belief in workers.items():
+        for member in belief.members.values():
+            task = member.task
+            key = (worker_id, task.job_id, task.occurrence, task.step)
+            count[key] = count.get(key, 0) + 1
+    return count
+
+
+def _waiting_views(waiting, ledger, runs, configuration, now_ms, wall_ms):
+    held = _urgent_holdings(ledger, runs)
+    chains = {}
+    views = []
+    for unit in waiting:
+        progress = ledger.jobs[unit.job_id]
+        job = progress.job
+        key = (unit.job_id, unit.occurrence)
+        if key not in chains:
+            chains[key] = chain_ms(progress, unit.occurrence)
+        step = step_of(job, unit)
+        count = step.count if unit.index == GANG else 1
+        begun_ms = job.accepted_wall_ms
+        if job.repeats:
+            begun_ms = job.first_wall_ms + unit.occurrence * job.period_ms
+        total_ms = sum(item.estimate_ms for item in job.steps)
+        objective_ms = job.objective_factor * total_ms + job.objective_ms
+        since_ms = now_ms - (wall_ms - begun_ms)
+        need = count * step.need.accelerators
+        guaranteed = job.priority == URGENT_PRIORITY and held.get(
+            job.organisation, 0
+        ) + need <= configuration.guaranteed(job.organisation)
+        views.append(
+            WaitingUnit(
+                unit,
+                step,
+                count,
+                job.priority,
+                guaranteed,
+                since_ms,
+                since_ms + int(objective_ms),
+                since_ms + int(LATE_FACTOR * objective_ms),
+                chains[key],
+                work_of(step, count),
+                job.service,
+            )
+        )
+    return views
+
+
+def _urgent_holdings(ledger, runs):
+    held = {}
+    for unit, run in runs.items():
+        job = ledger.jobs[unit.job_id].job
+        if job.priority == URGENT_PRIORITY and not run.over:
+            need = job.steps[unit.step].need.accelerators * len(run.where)
+            held[job.organisation] = held.get(job.organisation, 0) + need
+    return held
+
+
+def _holdings(view, ledger, runs, victims, now_ms):
+    """Return the running units that may give way to `view`."""
+    holdings = []
+    for unit, run in runs.items():
+        job = ledger.jobs[unit.job_id].job
+        if run.over or not run.launched or unit in victims:
+            continue
+        if job.priority <= view.priority:
+            continue
+        step = job.steps[unit.step]
+        places = tuple((worker_id, step.need) for worker_id in run.where.values())
+        ran_ms = now_ms - run.started_ms
+        if step.checkpoints:
+            ran_ms = min(ran_ms, MS_PER_SECOND)
+        lost = work_of(step._replace(estimate_ms=ran_ms), len(places))
+        holdings.append(Holding(unit, places, lost))
+    return holdings
--- /dev/null
+++ b/knapweedshed/decisions/preemption.py
@@ -0,0 +1,81 @@
+"""Chooses which running units give way to a unit that must start."""
+
+from typing import NamedTuple
+
+from knapweedshed.decisions.packing import place
+
+
+class Holding(NamedTuple):
+    """A running unit: where it holds what, and the work that a stop would lose.
+
+    `places` has (worker id, need) for each of its tasks.
+    """
+
+    unit: object
+    places: tuple
+    cost: float
+
+
+def choose_victims(step, count, sites, holdings, spread=False):
+    """Return the units to stop so that the tasks fit, or None if nothing helps.
+
+    Cheapest first until it fits; then each that turns out to be needless is spared,
+    the dearest first. For work that wants one rack each rack is tried by itself.
+    """
+    groups = [sites]
+    if step.gang and step.same_rack and not spread:
+        racks = {}
+        for site in sites:
+            racks.setdefault(site.rack, []).append(site)
+        groups = list(racks.values())
+    best = None
+    for group in groups:
+        chosen = _victims_in(step, count, group, holdings, spread)
+        if chosen is None:
+            continue
+        cost = sum(holding.cost for holding in chosen)
+        if best is None or cost < best[0]:
+            best = (cost, chosen)
+    return None if best is None else [holding.unit for holding in best[1]]
+
+
+def _victims_in(step, count, sites, holdings, spread):
+    here = {site.worker_id for site in sites}
+    helpful = [
+        holding
+        for holding in holdings
+        if any(worker_id in here for worker_id, _ in holding.places)
+    ]
+    helpful.sort(key=lambda holding: holding.cost / _accelerators(holding, here))
+    chosen = []
+    for holding in helpful:
+        if place(step, count, _freed(sites, chosen), spread):
+            break
+        chosen.append(holding)
+    if not place(step, count, _freed(sites, chosen), spread):
+        return None
+    for holding in sorted(chosen, key=lambda item: -item.cost):
+        fewer = [item for item in chosen if item is not holding]
+        if place(step, count, _freed(sites, fewer), spread):
+            chosen = fewer
+    return chosen
+
+
+def _accelerators(holding, here):
+    """Return what a stop would free here, as a number above 0."""
+    freed = [need for worker_id, need in holding.places if worker_id in here]
+    return sum(need.accelerators + need.cpu_milli / 8_000 for need in freed) or 0.001
+
+
+def _freed(sites, holdings):
+    extra = {}
+    for holding in holdings:
+        for worker_id, need in holding.places:
+            extra.setdefault(worker_id, []).append(need)
+    freed = []
+    for site in sites:
+        free = site.free
+        for need in extra.get(site.worker_id, ()):
+            free = free.plus(need)
+        freed.append(site._replace(free=free))
+    return freed
--- /dev/null
+++ b/knapweedshed/decisions/units.py
@@ -0,0 +1,50 @@
+"""Which units of which jobs may start now."""
+
+from knapweedshed.models.work import GANG, Unit
+
+
+def step_of(job, unit):
+    """Return the step that a unit belongs to."""
+    return job.steps[unit.step]
+
+
+def units_in(job_id, occurrence, number, step):
+    """Return the units of one step of one occurrence."""
+    if step.gang:
+        return (Unit(job_id, occurrence, number, GANG),)
+    return tuple(Unit(job_id, occurrence, number, index) for index in range(step.count))
+
+
+def ready_units(ledger, wall_ms):
+    """Return all units that are due, not done, and whose earlier steps are done."""
+    ready = []
+    for progress in ledger.jobs.values():
+        if not progress.active:
+            continue
+        for occurrence in due_occurrences(progress.job, wall_ms):
+            ready.extend(_ready_in(progress, occurrence))
+    return ready
+
+
+def due_occurrences(job, wall_ms):
+    """Return the occurrences whose time has come."""
+    if not job.repeats:
+        return range(1)
+    since_ms = wall_ms - job.first_wall_ms
+    if since_ms < 0:
+        return range(0)
+    if job.period_ms <= 0:
+        return range(job.repeats)
+    return range(min(job.repeats, since_ms // job.period_ms + 1))
+
+
+def _ready_in(progress, occurrence):
+    job = progress.job
+    ready = []
+    for number, step in enumerate(job.steps):
+        if not all(progress.step_done(occurrence, before) for before in step.after):
+            continue
+        for unit in units_in(job.job_id, occurrence, number, step):
+            if unit not in progress.done:
+                ready.append(unit)
+    return ready
--- a/knapweedshed/filters/chain.py
+++ b/knapweedshed/filters/chain.py
@@ -5,10 +5,11 @@
 
 
 class FilterChain:
-    """An ordered list of filters."""
+    """An ordered list of filters; `reply_type` tells a reply from a request."""
 
-    def __init__(self, filters):
+    def __init__(self, filters, reply_type=Reply):
         self._filters = tuple(filters)
+        self._reply_type = reply_type
 
     def enter(self, request):
         """Return the request as the last filter left it, or the `Reply` that ended it.
@@ -17,7 +18,7 @@
         """
         for index, item in enumerate(self._filters):
             outcome = item.enter(request)
-            if isinstance(outcome, Reply):
+            if isinstance(outcome, self._reply_type):
                 return self._out(request, outcome, index)
             request = outcome
         return request
--- a/knapweedshed/links/http_client.py
+++ b/knapweedshed/links/http_client.py
@@ -32,8 +32,16 @@
     exchange at the most.
     """
 
-    def __init__(self, clock, address):
+    def __init__(
+        self,
+        clock,
+        address,
+        connect_ms=CONNECT_TIMEOUT_MS,
+        margin_ms=ANSWER_MARGIN_MS,
+    ):
         self._clock = clock
+        self._connect_ms = connect_ms
+        self._margin_ms = margin_ms
         self._last_used_ms = clock.now_ms()
         host, _, port = address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
@@ -68,8 +76,8 @@
 
     def _send(self, method, path, body, fields, timeout_ms, headers):
         timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
-            read=(timeout_ms + ANSWER_MARGIN_MS) / MS_PER_SECOND,
+            connect=self._connect_ms / MS_PER_SECOND,
+            read=(timeout_ms + self._margin_ms) / MS_PER_SECOND,
         )
         url = path
         if fields:
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -98,8 +98,18 @@
 class LogTail(Actor):
     """Reads a stream from `from_offset` on, forever, and tells its receiver."""
 
-    def __init__(self, context, log, timer, stream, receiver, from_offset=0):
+    def __init__(
+        self,
+        context,
+        log,
+        timer,
+        stream,
+        receiver,
+        from_offset=0,
+        longest_wait_ms=READ_WAIT_MS,
+    ):
         super().__init__(context)
+        self._longest_wait_ms = longest_wait_ms
         self._log = log
         self._timer = timer
         self._stream = stream
@@ -128,10 +138,12 @@
             tell(self._receiver, LogUnreadable(self._stream, page.reason))
             self._timer.after(RETRY_MS, self.actor_ref, _ReadNext())
             return
-        self._wait_ms = READ_WAIT_MS
+        self._wait_ms = self._longest_wait_ms
         if page.records:
             self._next = page.records[-1].offset + 1
         caught_up = len(page.records) < READ_LIMIT
+        if page.end >= 0:
+            caught_up = self._next >= page.end
         tell(
             self._receiver,
             RecordsRead(self._stream, page.records, page.first_retained, caught_up),
--- a/knapweedshed/links/platform.py
+++ b/knapweedshed/links/platform.py
@@ -46,11 +46,15 @@
 
 
 class LogPage(NamedTuple):
-    """Records from the asked offset on; `first_retained` moves up with retention."""
+    """Records from the asked offset on; `first_retained` moves up with retention.
+
+    `end` is the offset after the last record of the stream, or -1 if it isn't told.
+    """
 
     records: tuple[StoredRecord, ...]
     next_offset: int
     first_retained: int
+    end: int = -1
 
 
 class Granted(NamedTuple):
--- /dev/null
+++ b/knapweedshed/links/worker_orders.py
@@ -0,0 +1,70 @@
+"""Links to one worker: one waits for its lists, one gives it orders."""
+
+from functools import singledispatchmethod
+
+from knapweedshed.actors import Actor, tell
+from knapweedshed.controllers.work_messages import (
+    Hold,
+    HoldAnswered,
+    Order,
+    OrderAnswered,
+)
+from knapweedshed.models.work_orders import StartRun
+
+
+class HoldLink(Actor):
+    """Holds a worker: raises the fence, renews its leases, waits for ends."""
+
+    def __init__(self, context, calls, worker_id, receiver):
+        super().__init__(context)
+        self._calls = calls
+        self._worker_id = worker_id
+        self._receiver = receiver
+
+    def on_stop(self):
+        """Close the connection."""
+        self._calls.close()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def hold(self, message: Hold):
+        """Hold once, and tell what came of it."""
+        sent_ms = self._context.clock.now_ms()
+        answer = self._calls.hold(
+            message.fence, message.deadline_ms, message.acked_upto, message.wait_ms
+        )
+        tell(
+            self._receiver,
+            HoldAnswered(self._worker_id, message.fence, answer, sent_ms),
+        )
+
+
+class OrderLink(Actor):
+    """Gives a worker its orders, one after the other."""
+
+    def __init__(self, context, calls, receiver):
+        super().__init__(context)
+        self._calls = calls
+        self._receiver = receiver
+
+    def on_stop(self):
+        """Close the connection."""
+        self._calls.close()
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def order(self, message: Order):
+        """Give one order, and tell what came of it."""
+        give = self._calls.start
+        if not isinstance(message.order, StartRun):
+            give = self._calls.stop
+        outcome = give(message.order, message.fence)
+        tell(self._receiver, OrderAnswered(message.order, message.fence, outcome))
--- /dev/null
+++ b/knapweedshed/models/work_orders.py
@@ -0,0 +1,56 @@
+"""What the scheduler's decisions ask for: orders to workers and records for the log."""
+
+from typing import NamedTuple
+
+from knapweedshed.models.work import Task, TaskEnd
+from knapweedshed.models.work_records import Launched
+
+
+class StartRun(NamedTuple):
+    """Start a run at a worker; `deadline_ms` is on the worker's clock."""
+
+    worker_id: str
+    task: Task
+    run: int
+    specification: str
+    saved: str
+    deadline_ms: int
+
+
+class StopRun(NamedTuple):
+    """Stop a run at a worker, and bar its number there."""
+
+    worker_id: str
+    task: Task
+    run: int
+
+
+class RecordEnds(NamedTuple):
+    """Write ends to the log before their workers may forget them."""
+
+    ends: tuple[TaskEnd, ...]
+
+
+class RecordLaunches(NamedTuple):
+    """Write what is about to be started."""
+
+    launches: tuple[Launched, ...]
+
+
+class OrderOutcome(NamedTuple):
+    """What came of an order: `done`, `refused` (with a reason), or `unknown`."""
+
+    kind: str
+    reason: str = ""
+
+
+DONE = "done"
+REFUSED = "refused"
+UNKNOWN = "unknown"
+REASON_FENCE = "fence"
+REASON_OLD = "old"
+REASON_LATE = "late"
+REASON_ROOM = "room"
+REASON_UNHEALTHY = "unhealthy"
+REASON_OTHER_INCARNATION = "other incarnation"
+REASON_UNREACHABLE = "unreachable"
--- a/knapweedshed/programs/daemon.py
+++ b/knapweedshed/programs/daemon.py
@@ -37,6 +37,9 @@
 def run_daemon(program, summary, specification, create, argv=None):
     """Run a daemon until SIGTERM or SIGINT; return its exit status.
 
+    `create` takes the program's name and its settings, and returns (daemon, logger);
+    `build_from` makes one from a `Daemon` class.
+
     SIGUSR1 writes the state dump to standard output. A second SIGTERM leaves at once.
     """
     arguments = sys.argv[1:] if argv is None else argv
@@ -54,7 +57,7 @@
     fire.Fire(read_flags, command=arguments, name=program)
     try:
         settings = load_settings(specification, flags)
-        daemon, logger = _build(program, settings, create)
+        daemon, logger = create(program, settings)
     except SettingsError as error:
         for fault in error.faults:
             print(f"{program}: {fault}", file=sys.stderr)
@@ -62,6 +65,11 @@
     return _serve(daemon, logger)
 
 
+def build_from(daemon_class):
+    """Return a `create` for `run_daemon` that builds a `Daemon` class's context."""
+    return lambda program, settings: _build(program, settings, daemon_class)
+
+
 def _build(program, settings, create):
     register_all()
     process_id = settings.process_id or f"{program}@{settings.listen}"
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -27,7 +27,7 @@
 from knapweedshed.links.platform import create_platform
 from knapweedshed.links.runners import RunnerCaller
 from knapweedshed.models import wire
-from knapweedshed.programs.daemon import Daemon, run_daemon
+from knapweedshed.programs.daemon import Daemon, build_from, run_daemon
 from knapweedshed.programs.dumping import ask, collect
 from knapweedshed.settings import COMMON, Setting
 from knapweedshed.timers import Timer
@@ -201,7 +201,7 @@
             "knapweedshed-entry",
             "takes callers' requests at one entry host",
             SETTINGS,
-            EntryProgram,
+            build_from(EntryProgram),
         )
     )
 
--- /dev/null
+++ b/knapweedshed/programs/host.py
@@ -0,0 +1,164 @@
+"""`knapweedshed-host`: serves callers of whole jobs, and schedules when it is its turn.
+
+One program for a host: an entry always, the acting scheduler when the log says so.
+"""
+
+import signal
+import sys
+import threading
+
+import pykka
+
+from knapweedshed import platform as users_platform  # noqa: F401 - registers
+from knapweedshed.actors import stop_all, tell
+from knapweedshed.clock import MS_PER_SECOND, create_clock
+from knapweedshed.codecs.catalogue import register_all
+from knapweedshed.context import create_context
+from knapweedshed.controllers.calls import CallsController
+from knapweedshed.controllers.jobs import JobsController
+from knapweedshed.controllers.messages import Tick
+from knapweedshed.controllers.scheduling import TICK_MS, SchedulingController
+from knapweedshed.controllers.work_messages import Leave, UseCalls
+from knapweedshed.links.fanout import Fanout
+from knapweedshed.links.feeds import (
+    WORKERS_PERIOD_MS,
+    ConfigurationFeedLink,
+    WorkerFeedLink,
+)
+from knapweedshed.links.log import LogAppender, LogTail
+from knapweedshed.links.service import create_service_platform
+from knapweedshed.links.work_front import WorkFront
+from knapweedshed.logs import create_logger
+from knapweedshed.metrics import create_metrics
+from knapweedshed.models.work_records import WORK_STREAM
+from knapweedshed.programs.daemon import Daemon, run_daemon
+from knapweedshed.programs.dumping import collect
+from knapweedshed.settings import Setting
+from knapweedshed.timers import Timer
+
+STREAM_WAIT_MS = 1_000  # a silent connection to the log is noticed soon after
+LEAVE_MS = 3_000  # balancer's two missed checks, a second apart, and one more
+RESIGN_LIMIT_MS = 1_000
+JOBS_TICK_MS = 50
+
+SETTINGS = (
+    Setting("platform", "text", "fleet", "platform adapter, by registry name"),
+    Setting("statsd", "optional_address", "", "ip:port of statsd; empty: none"),
+    Setting("log_level", "level", "info", "debug, info, warning or error"),
+)
+
+
+class Host(Daemon):
+    """The actors of one host."""
+
+    def __init__(self, context, platform, settings):
+        self._context = context
+        self._settings = settings
+        self._timer = Timer(context.clock)
+        timer = self._timer
+        self._appender = LogAppender.start(context, platform.work_log())
+        self._jobs = JobsController.start(context, self._appender)
+        self._calls = CallsController.start(context, self._jobs)
+        tell(self._jobs, UseCalls(self._calls))
+        self._scheduling = SchedulingController.start(
+            context, timer, platform, self._appender, settings
+        )
+        self._platform = platform
+        self._front = WorkFront(
+            context,
+            platform.caller_codec(),
+            self._calls,
+            self._jobs,
+            (settings.front, settings.ready),
+        )
+        self._links = ()
+
+    def start(self):
+        """Start reading, serving and ticking."""
+        context, timer, platform = self._context, self._timer, self._platform
+        timer.start()
+        fanout = Fanout.start(context, (self._jobs, self._scheduling))
+        tail = LogTail.start(
+            context,
+            platform.work_log(),
+            timer,
+            WORK_STREAM,
+            fanout,
+            longest_wait_ms=STREAM_WAIT_MS,
+        )
+        configuration = ConfigurationFeedLink.start(
+            context,
+            platform.configuration_feed(),
+            timer,
+            (self._calls, self._jobs, self._scheduling),
+        )
+        workers = WorkerFeedLink.start(
+            context, platform.worker_feed(), self._scheduling
+        )
+        self._links = (tail, configuration, workers, fanout)
+        timer.every(WORKERS_PERIOD_MS, workers, Tick())
+        timer.every(TICK_MS, self._scheduling, Tick())
+        timer.every(JOBS_TICK_MS, self._jobs, Tick())
+        self._front.start()
+
+    def close(self):
+        """Leave rotation, hand the role over, answer what comes meanwhile, stop."""
+        self._front.leave()
+        resigned = pykka.ThreadingFuture()
+        tell(self._scheduling, Leave(resigned))
+        pause = threading.Event()
+        leave_ms = min(LEAVE_MS, self._settings.grace_ms // 2)
+        pause.wait(leave_ms / MS_PER_SECOND)
+        self._front.close()
+        try:
+            resigned.get(timeout=RESIGN_LIMIT_MS / MS_PER_SECOND)
+        except pykka.Timeout:
+            self._context.logger.warning("role not handed over in time")
+        for ref in self._links:
+            ref.stop(block=False)
+        self._timer.close()
+        stop_all((self._calls, self._jobs, self._scheduling, self._appender))
+
+    def dump(self):
+        """Return the state of every controller."""
+        return collect(
+            self._context,
+            {
+                "calls": self._calls,
+                "jobs": self._jobs,
+                "scheduling": self._scheduling,
+            },
+        )
+
+
+def create_host(program, settings):
+    """Return (host, logger) by the platform's own settings."""
+    register_all()
+    clock = create_clock()
+    logger = create_logger(program, program, level=settings.log_level)
+    platform = create_service_platform(settings.platform, clock, logger)
+    host_settings = platform.settings()
+    logger = create_logger(
+        program, host_settings.name, host_settings.data_centre, settings.log_level
+    )
+    metrics = create_metrics(settings.statsd, program)
+    context = create_context(settings, logger, metrics, "")
+    context = context._replace(process_id=context.new_id()[:8])
+    return Host(context, platform, host_settings), logger
+
+
+def main():
+    """Run a host."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    sys.exit(
+        run_daemon(
+            "knapweedshed-host",
+            "serves callers of whole jobs, and schedules when it is its turn",
+            SETTINGS,
+            create_host,
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedshed/programs/scheduler.py
+++ b/knapweedshed/programs/scheduler.py
@@ -27,7 +27,7 @@
 from knapweedshed.links.peers import PeerLink, PeerServer
 from knapweedshed.links.platform import create_platform
 from knapweedshed.models import wire
-from knapweedshed.programs.daemon import Daemon, run_daemon
+from knapweedshed.programs.daemon import Daemon, build_from, run_daemon
 from knapweedshed.programs.dumping import ask, collect
 from knapweedshed.settings import COMMON, Setting
 from knapweedshed.timers import Timer
@@ -223,7 +223,7 @@
             "knapweedshed-scheduler",
             "places and follows the jobs of one data centre",
             SETTINGS,
-            Scheduler,
+            build_from(Scheduler),
         )
     )
 
--- a/knapweedshed/programs/standin.py
+++ b/knapweedshed/programs/standin.py
@@ -4,7 +4,7 @@
 
 from knapweedshed.links.http_server import HttpServer
 from knapweedshed.models.workers import Host
-from knapweedshed.programs.daemon import Daemon, run_daemon
+from knapweedshed.programs.daemon import Daemon, build_from, run_daemon
 from knapweedshed.settings import COMMON, Setting, parse_address
 from knapweedshed.standins.http import HostListFront, LogFront, RunnerFront, WorkerFront
 from knapweedshed.standins.log import LogStandin
@@ -121,7 +121,7 @@
             "knapweedshed-standin",
             "small stand-in of the platform, for tests and trying out",
             SETTINGS,
-            Standin,
+            build_from(Standin),
         )
     )
 
