Keep a start that had no answer in doubt, and learn how fast workers are

Also half of urgent work was late on workers of speed 0.6. Change: after an unanswered try only a stop settles a start. Speeds are learned from progress; a unit takes the slowest workers that let it end in time; a stop of others must be worth its loss unless a guarantee asks for it.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -16,6 +16,7 @@
     worth_recording,
 )
 from knapweedshed.decisions.planning_units import UnitPlanner
+from knapweedshed.decisions.speeds import WorkerSpeeds
 from knapweedshed.decisions.units import ready_units, step_of
 from knapweedshed.models.work import (
     GANG,
@@ -33,7 +34,6 @@
     REASON_ROOM,
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
-    REFUSED,
     UNKNOWN,
     RecordEnds,
     RecordLaunches,
@@ -43,6 +43,8 @@
 from knapweedshed.models.work_records import Launched
 
 START_TRIES_COUNT = 3  # within the time that a gang waits for its members
+LEARN_MS = 500  # between two workings out of speeds
+SHORTEST_PACE_MS = 400  # a run's progress says little before
 RECORD_AGAIN_MS = 1_500  # an end whose record isn't read back by then is written again
 NOT_STARTED = (
     REASON_OLD,
@@ -66,7 +68,8 @@
 class UnitRun(NamedTuple):
     """A unit that is somewhere; `where` maps its tasks to worker ids.
 
-    `over` says that the run has failed or was stopped, and only has to clear.
+    `workers` are those it was launched at. `over` says that the run has failed or was
+    stopped, and only has to clear.
     """
 
     unit: Unit
@@ -75,6 +78,7 @@
     over: bool
     started_ms: int
     launched: bool
+    workers: tuple[str, ...] = ()
 
 
 class Dispatcher:
@@ -90,7 +94,9 @@
         self._record_sent_ms = {}
         self._configuration = None
         self._listed = False
-        self._began_ms = now_ms
+        self._speeds = WorkerSpeeds()
+        self._taken_up = set()
+        self._learned_ms = now_ms
         self._adopt_launches(now_ms)
 
     @property
@@ -133,6 +139,7 @@
             return []
         gone, ends, strange = belief.take_lists(lists, sent_ms, now_ms)
         orders = []
+        self._note_paces(belief, gone, now_ms)
         self._note_ends(belief, ends, now_ms)
         orders.extend(self._clear(belief, gone))
         for listed in strange:
@@ -140,7 +147,11 @@
         return orders
 
     def take_outcome(self, order, outcome, now_ms):
-        """Take what came of an order; return orders that follow."""
+        """Take what came of an order; return orders that follow.
+
+        A refusal says that a run was not started only where no earlier try of the same
+        start is without answer: that one may still be carried out.
+        """
         belief = self._workers.get(order.worker_id)
         key = (order.task, order.run)
         member = belief.members.get(key) if belief else None
@@ -155,9 +166,9 @@
         if outcome.kind == DONE:
             belief.members[key] = member._replace(settled_ms=now_ms)
             return []
-        if outcome.kind == REFUSED and outcome.reason in NOT_STARTED:
-            if outcome.reason in SICK_REASONS:
-                belief.strike(now_ms)
+        if outcome.reason in SICK_REASONS:
+            belief.strike(now_ms)
+        if outcome.reason in NOT_STARTED and member.tries == 1:
             del belief.members[key]
             return self._member_gone(order.task, order.run, None)
         if outcome.kind == UNKNOWN and member.tries < START_TRIES_COUNT:
@@ -212,6 +223,9 @@
     def tick(self, now_ms):
         """Let leases lapse, repeat stops and records; return orders and records."""
         actions = []
+        if now_ms - self._learned_ms >= LEARN_MS:
+            self._learned_ms = now_ms
+            self._speeds.learn(now_ms)
         for belief in list(self._workers.values()):
             actions.extend(self._clear(belief, belief.lapse(now_ms)))
             if belief.entry is None:
@@ -255,6 +269,7 @@
             self._workers,
             self._runs,
             self._configuration,
+            self._speeds,
             now_ms,
             wall_ms,
         )
@@ -280,6 +295,7 @@
                 if unit in progress.done:
                     continue
                 step = step_of(progress.job, unit)
+                self._taken_up.add(unit)
                 where = {}
                 tasks = tasks_of(unit, step)
                 for task, at in zip(tasks, launched.workers, strict=True):
@@ -298,10 +314,17 @@
                     )
                     where[task] = worker_id
                 self._runs[unit] = UnitRun(
-                    unit, launched.run, where, not progress.active, now_ms, True
+                    unit,
+                    launched.run,
+                    where,
+                    not progress.active,
+                    now_ms,
+                    True,
+                    tuple(worker_id for worker_id, _ in launched.workers),
                 )
 
     def _launch(self, unit, worker_ids, now_ms):
+        self._taken_up.discard(unit)
         progress = self._ledger.jobs[unit.job_id]
         step = step_of(progress.job, unit)
         before = progress.launched.get(unit)
@@ -312,7 +335,9 @@
                 task, run, step.need, MemberPhase.STARTING, started_ms=now_ms
             )
             where[task] = worker_id
-        self._runs[unit] = UnitRun(unit, run, where, False, now_ms, False)
+        self._runs[unit] = UnitRun(
+            unit, run, where, False, now_ms, False, tuple(worker_ids)
+        )
         at = tuple((name, self._workers[name].incarnation) for name in worker_ids)
         return Launched(unit, run, at)
 
@@ -338,6 +363,35 @@
         for task, worker_id in run.where.items():
             self._workers[worker_id].members.pop((task, run.run), None)
 
+    def _note_paces(self, belief, gone, now_ms):
+        """Learn speeds from what runs, and from what ended as done."""
+        for member in belief.members.values():
+            if member.seen and member.phase == MemberPhase.RUNNING:
+                self._note_pace(member, member.percent, now_ms)
+        for item in gone:
+            if item.kind == EndKind.DONE:
+                self._note_pace(item.member, 100.0, now_ms)
+
+    def _note_pace(self, member, percent, now_ms):
+        progress = self._ledger.jobs.get(member.task.job_id)
+        if progress is None:
+            return
+        step = progress.job.steps[member.task.step]
+        unit = unit_of(member.task, step)
+        run = self._runs.get(unit)
+        if run is None or run.run != member.run or progress.saved.get(unit):
+            return
+        if unit in self._taken_up:
+            return
+        ran_ms = now_ms - run.started_ms
+        if ran_ms < SHORTEST_PACE_MS:
+            return
+        key = (unit if step.gang else member.task, member.run)
+        at = run.workers
+        self._speeds.observe(
+            key, unit.job_id, at, percent, ran_ms, step.estimate_ms, now_ms
+        )
+
     def _note_ends(self, belief, ends, now_ms):
         for end in ends:
             if end.kind == EndKind.FAILED:
--- a/knapweedshed/decisions/packing.py
+++ b/knapweedshed/decisions/packing.py
@@ -1,9 +1,13 @@
 """Finds workers for the tasks of one unit."""
 
+import math
 from typing import NamedTuple
 
 from knapweedshed.models.work import Resources
 
+LEVELS_PER_DOUBLING = 2  # of speed: what is learned is not finer than that
+LOWEST_SPEED = 0.05  # keeps the logarithm of a stalled worker finite
+
 
 class Site(NamedTuple):
     """A worker as a place for tasks; `resident` counts tasks of the step there."""
@@ -26,21 +30,24 @@
     return max(0, copies)
 
 
-def place(step, count, sites, spread=False):
+def place(step, count, sites, spread=False, wanted_speed=0.0):
     """Return `count` worker ids, or () if the tasks don't fit.
 
-    A gang that wants one rack gets one, unless `spread` allows several.
+    A gang that wants one rack gets one, unless `spread` allows several. The slowest
+    workers that have `wanted_speed` are taken first, so that faster ones stay free for
+    work that needs them; without such, the fastest.
     """
     room = [(copies_at(site, step), site) for site in sites]
     room = [pair for pair in room if pair[0]]
     if sum(copies for copies, _ in room) < count:
         return ()
     if step.gang and step.same_rack and not spread:
-        return _in_one_rack(step, count, room)
-    return _fill(count, sorted(room, key=lambda pair: _near_first(step, pair)))
+        return _in_one_rack(step, count, room, wanted_speed)
+    room.sort(key=lambda pair: _best_first(step, pair, wanted_speed))
+    return _fill(count, room)
 
 
-def _in_one_rack(step, count, room):
+def _in_one_rack(step, count, room, wanted_speed):
     racks = {}
     for copies, site in room:
         racks.setdefault(site.rack, []).append((copies, site))
@@ -49,24 +56,29 @@
         total = sum(copies for copies, _ in members)
         if total < count:
             continue
-        chosen = _fill(count, sorted(members, key=_tight_first))
+        members.sort(key=lambda pair: _best_first(step, pair, wanted_speed))
+        chosen = _fill(count, members)
         speeds = {site.worker_id: site.speed for _, site in members}
         slowest = min(speeds[worker_id] for worker_id in chosen)
-        key = (rack != step.data_rack and bool(step.data_rack), -slowest, total)
+        far = rack != step.data_rack and bool(step.data_rack)
+        key = (far, *_speed_key(slowest, wanted_speed), total)
         if best is None or key < best[0]:
             best = (key, chosen)
     return best[1] if best else ()
 
 
-def _near_first(step, pair):
+def _best_first(step, pair, wanted_speed):
     copies, site = pair
     far = bool(step.data_rack) and site.rack != step.data_rack
-    return (far, *_tight_first(pair))
+    speed_key = _speed_key(site.speed, wanted_speed)
+    return (far, *speed_key, site.free.accelerators, copies, site.worker_id)
 
 
-def _tight_first(pair):
-    copies, site = pair
-    return (-site.speed, site.free.accelerators, copies, site.worker_id)
+def _speed_key(speed, wanted_speed):
+    level = round(math.log2(max(speed, LOWEST_SPEED)) * LEVELS_PER_DOUBLING)
+    if speed >= wanted_speed:
+        return (False, level)
+    return (True, -level)
 
 
 def _fill(count, room):
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -1,5 +1,6 @@
 """One planning step: who starts where, and who gives way."""
 
+import math
 from typing import NamedTuple
 
 from knapweedshed.decisions.fleet import MemberPhase
@@ -12,6 +13,10 @@
 URGENT_PRIORITY = 0
 MS_PER_SECOND = 1_000
 RACK_MARK = "r"
+LOSS_RATIO_IN_TIME = 4.0  # urgent work earns four times what its core-seconds cost
+LOSS_RATIO_LATE = 0.8  # and a fifth of that once it is late: site files
+SPEED_MARGIN = 1.25  # estimates are rough; also covers restores and stops
+HIGHEST_SPEED = 4.0  # beyond any worker: work that is late takes the fastest
 
 
 class UnitPlan(NamedTuple):
@@ -27,11 +32,21 @@
     def __init__(self, order):
         self._order = order
 
-    def plan(self, waiting, ledger, workers, runs, configuration, now_ms, wall_ms):
+    def plan(
+        self,
+        waiting,
+        ledger,
+        workers,
+        runs,
+        configuration,
+        speeds,
+        now_ms,
+        wall_ms,
+    ):
         """Return a `UnitPlan`."""
         views = _waiting_views(waiting, ledger, runs, configuration, now_ms, wall_ms)
         views.sort(key=lambda view: self._order.key(view, now_ms))
-        room = Room(workers, runs, now_ms)
+        room = Room(workers, runs, speeds, now_ms)
         starts = []
         victims = []
         for view in views:
@@ -44,6 +59,7 @@
                     view.count,
                     room.sites_soon(view),
                     _holdings(view, ledger, runs, victims, now_ms),
+                    most_cost=most_loss(view, now_ms),
                 )
                 if chosen:
                     victims.extend(chosen)
@@ -55,8 +71,9 @@
 class Room:
     """Free capacity now, and once everything that is being stopped has ended."""
 
-    def __init__(self, workers, runs, now_ms):
+    def __init__(self, workers, runs, speeds, now_ms):
         self._runs = runs
+        self._speeds = speeds
         self._workers = {
             worker_id: belief
             for worker_id, belief in workers.items()
@@ -77,14 +94,19 @@
     def take_now(self, view):
         """Take places that are free now and not reserved; return worker ids or ()."""
         sites = self._sites(view, self._both)
-        chosen = place(view.step, view.count, sites)
+        chosen = place(view.step, view.count, sites, wanted_speed=view.wanted_speed)
         if chosen:
             self._subtract(view, chosen, now=True)
         return chosen
 
     def reserve(self, view):
         """Keep places that will be free soon; return them, or ()."""
-        chosen = place(view.step, view.count, self.sites_soon(view))
+        chosen = place(
+            view.step,
+            view.count,
+            self.sites_soon(view),
+            wanted_speed=view.wanted_speed,
+        )
         if chosen:
             self._subtract(view, chosen, now=False)
         return chosen
@@ -116,7 +138,7 @@
                 rack_of(belief.entry.labels),
                 belief.entry.labels,
                 free_of(worker_id),
-                1.0,
+                self._speeds.speed(worker_id),
                 self._residents.get((worker_id, *key), 0),
             )
             for worker_id, belief in self._workers.items()
@@ -141,6 +163,27 @@
     return ""
 
 
+def most_loss(view, now_ms):
+    """Return the core-seconds that may be lost by stopping others for this unit.
+
+    A guarantee is met at any cost; otherwise the loss must be worth the gain.
+    """
+    if view.guaranteed:
+        return math.inf
+    if now_ms + view.chain_ms <= view.due_ms:
+        return LOSS_RATIO_IN_TIME * view.work
+    if now_ms + view.chain_ms <= view.late_ms:
+        return LOSS_RATIO_LATE * view.work
+    return 0.0
+
+
+def wanted_speed(chain_left_ms, time_left_ms):
+    """Return the speed at which work ends in time, the highest where none does."""
+    if time_left_ms <= chain_left_ms / HIGHEST_SPEED:
+        return HIGHEST_SPEED
+    return SPEED_MARGIN * chain_left_ms / time_left_ms
+
+
 def chain_ms(progress, occurrence):
     """Return the estimated work left on the longest chain of steps."""
     job = progress.job
@@ -197,6 +240,7 @@
                 chains[key],
                 work_of(step, count),
                 job.service,
+                wanted_speed(chains[key], since_ms + objective_ms - now_ms),
             )
         )
     return views
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -1,5 +1,6 @@
 """Chooses which running units give way to a unit that must start."""
 
+import math
 from typing import NamedTuple
 
 from knapweedshed.decisions.packing import place
@@ -16,8 +17,9 @@
     cost: float
 
 
-def choose_victims(step, count, sites, holdings, spread=False):
-    """Return the units to stop so that the tasks fit, or None if nothing helps.
+def choose_victims(step, count, sites, holdings, spread=False, most_cost=math.inf):
+    """Return the units to stop so that the tasks fit, or None if nothing helps
+    that costs no more than `most_cost` core-seconds.
 
     Cheapest first until it fits; then each that turns out to be needless is spared,
     the dearest first. For work that wants one rack each rack is tried by itself.
@@ -34,7 +36,7 @@
         if chosen is None:
             continue
         cost = sum(holding.cost for holding in chosen)
-        if best is None or cost < best[0]:
+        if cost <= most_cost and (best is None or cost < best[0]):
             best = (cost, chosen)
     return None if best is None else [holding.unit for holding in best[1]]
 
--- /dev/null
+++ b/knapweedshed/decisions/speeds.py
@@ -0,0 +1,106 @@
+"""How fast each worker has shown itself to be, from the progress of its runs.
+
+A run's pace is the share of its work done in a second, times its estimate. Estimates
+are wrong by a factor that all tasks of a job share, so paces are compared within a job:
+the job's factor is what its paces have in common once the workers' speeds are taken
+out. A worker of which little is known counts as average.
+"""
+
+import math
+from typing import NamedTuple
+
+PRIOR_WEIGHT = 1.0  # one observation's worth of belief that a worker is average
+ESTIMATE_SPREAD = 0.5  # of the logarithm of an estimate's error; site files: 0.2 to 0.9
+SPEED_SPREAD = (
+    0.45  # of the logarithm of speeds between workers; site files: 0.6 to 1.7
+)
+FASTEST = 2.5
+SLOWEST = 0.1
+HALF_LIFE_MS = 8_000  # workers turn slow and recover within some seconds
+SWEEPS_COUNT = 3
+
+
+class Pace(NamedTuple):
+    """What one run showed: log of (pace x estimate), at one worker or several."""
+
+    job_id: str
+    worker_ids: tuple[str, ...]
+    value: float
+    seen_ms: int
+
+
+class WorkerSpeeds:
+    """Speeds relative to the mean of all workers."""
+
+    def __init__(self):
+        self._paces = {}
+        self._speeds = {}
+
+    def observe(self, key, job_id, worker_ids, percent, ran_ms, estimate_ms, now_ms):
+        """Take the progress of a run; `key` names the run, later takes replace it."""
+        if percent <= 0 or ran_ms <= 0 or estimate_ms <= 0:
+            return
+        value = math.log(percent / 100 * estimate_ms / ran_ms)
+        self._paces[key] = Pace(job_id, tuple(sorted(set(worker_ids))), value, now_ms)
+
+    def speed(self, worker_id):
+        """Return the learned speed; 1.0 where nothing is known."""
+        return self._speeds.get(worker_id, 1.0)
+
+    def known(self):
+        """Return learned speeds by worker."""
+        return dict(self._speeds)
+
+    def adopt(self, speeds):
+        """Begin with what a predecessor has learned."""
+        self._speeds.update(speeds)
+
+    def learn(self, now_ms):
+        """Work the speeds out anew."""
+        paces = [
+            (pace, 0.5 ** ((now_ms - pace.seen_ms) / HALF_LIFE_MS))
+            for pace in self._paces.values()
+        ]
+        paces = [(pace, weight) for pace, weight in paces if weight > 0.05]
+        self._paces = {
+            key: pace
+            for key, pace in self._paces.items()
+            if now_ms - pace.seen_ms < 5 * HALF_LIFE_MS
+        }
+        logs = {name: math.log(speed) for name, speed in self._speeds.items()}
+        prior = dict(logs)
+        for _ in range(SWEEPS_COUNT):
+            factors = _job_factors(paces, logs)
+            logs = _worker_logs(paces, logs, factors, prior)
+        for worker_id, value in logs.items():
+            self._speeds[worker_id] = min(FASTEST, max(SLOWEST, math.exp(value)))
+
+
+def _slowest(pace, logs):
+    return min(pace.worker_ids, key=lambda worker_id: logs.get(worker_id, 0.0))
+
+
+def _job_factors(paces, logs):
+    """Return the log of each job's common factor, shrunk towards a right estimate."""
+    sums = {}
+    for pace, weight in paces:
+        rest = pace.value - logs.get(_slowest(pace, logs), 0.0)
+        total, weights = sums.get(pace.job_id, (0.0, 0.0))
+        sums[pace.job_id] = (total + weight * rest, weights + weight)
+    shrink = (SPEED_SPREAD / ESTIMATE_SPREAD) ** 2
+    return {
+        job_id: total / (weights + shrink) for job_id, (total, weights) in sums.items()
+    }
+
+
+def _worker_logs(paces, logs, factors, prior):
+    sums = {
+        worker_id: (PRIOR_WEIGHT * value, PRIOR_WEIGHT)
+        for worker_id, value in prior.items()
+    }
+    for pace, weight in paces:
+        worker_id = _slowest(pace, logs)
+        rest = pace.value - factors[pace.job_id]
+        total, weights = sums.get(worker_id, (0.0, PRIOR_WEIGHT))
+        sums[worker_id] = (total + weight * rest, weights + weight)
+    return {worker_id: total / weights for worker_id, (total, weights) in sums.items()}
--- a/knapweedshed/decisions/work_order.py
+++ b/knapweedshed/decisions/work_order.py
@@ -26,6 +26,7 @@
     chain_ms: int
     work: float
     service: str = ""
+    wanted_speed: float = 0.0
 
 
 class WorkOrder(ABC):
