Say in one line each who gave way to whom, and how a job came out

Cause: waste of work and late urgent jobs could not be read from the logs. Change: 'preempted' and 'job over' lines of the acting scheduler; one function for the longest chain of steps.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -36,6 +36,7 @@
     may_order,
     should_claim,
 )
+from knapweedshed.decisions.units import chain_ms
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
 from knapweedshed.links.platform import FAILURES
@@ -43,6 +44,7 @@
 from knapweedshed.models.service import ServiceConfiguration
 from knapweedshed.models.work_orders import (
     REASON_FENCE,
+    Preempted,
     RecordEnds,
     RecordLaunches,
 )
@@ -83,6 +85,7 @@
         self._log_pause_until_ms = 0
         self._leaving = None
         self._fenced_epoch = 0
+        self._over = set()
         self._planning = False
 
     def on_stop(self):
@@ -122,6 +125,7 @@
         for record in ours:
             self._take_own(record)
         self._do(self._dispatcher.take_fold(changed))
+        self._log_over(changed)
         self._plan_soon()
 
     @receive.register
@@ -346,6 +350,8 @@
             elif isinstance(action, RecordLaunches):
                 self._log_launches(action.launches)
                 self._append(RunsLaunched(self._ledger.epoch, action.launches))
+            elif isinstance(action, Preempted):
+                self._log_preempted(action)
             elif may_order(self._standing(), self._now_ms()):
                 self._links.order(Order(action, self._ledger.epoch))
             else:
@@ -364,6 +370,44 @@
                 },
             )
 
+    def _log_over(self, changed):
+        """Say once of each job how it came out, against its objective."""
+        wall_ms = self._context.clock.wall_ms()
+        for job_id in set(changed) - self._over:
+            progress = self._ledger.jobs.get(job_id)
+            if progress is None or progress.active:
+                continue
+            self._over.add(job_id)
+            job = progress.job
+            estimate_ms = chain_ms(job)
+            self._context.logger.info(
+                "job over",
+                extra={
+                    "job": job_id,
+                    "state": str(progress.state),
+                    "organisation": job.organisation,
+                    "priority": job.priority,
+                    "took_ms": wall_ms - job.accepted_wall_ms,
+                    "estimate_ms": estimate_ms,
+                    "objective_ms": int(
+                        job.objective_factor * estimate_ms + job.objective_ms
+                    ),
+                    "runs": sum(item.run for item in progress.launched.values()),
+                },
+            )
+
+    def _log_preempted(self, preempted):
+        self._context.metrics.count("preempted", len(preempted.units))
+        self._context.logger.info(
+            "preempted",
+            extra={
+                "job": preempted.wanted_by.job_id,
+                "units": [list(unit) for unit in preempted.units],
+                "guaranteed": preempted.guaranteed,
+                "lost_core_s": round(preempted.lost),
+            },
+        )
+
     def _append(self, record):
         record_id = self._context.new_id()
         self._appends[record_id] = record
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -274,8 +274,10 @@
             wall_ms,
         )
         actions = []
-        for unit in plan.victims:
-            actions.extend(self._end_run(unit))
+        for preempted in plan.preempted:
+            actions.append(preempted)
+            for unit in preempted.units:
+                actions.extend(self._end_run(unit))
         launches = [self._launch(unit, at, now_ms) for unit, at in plan.starts]
         if launches:
             actions.append(RecordLaunches(tuple(launches)))
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -6,9 +6,10 @@
 from knapweedshed.decisions.fleet import MemberPhase
 from knapweedshed.decisions.packing import Site, place
 from knapweedshed.decisions.preemption import Holding, choose_victims
-from knapweedshed.decisions.units import step_of
+from knapweedshed.decisions.units import chain_left_ms, chain_ms, step_of
 from knapweedshed.decisions.work_order import LATE_FACTOR, WaitingUnit, work_of
 from knapweedshed.models.work import GANG, Resources
+from knapweedshed.models.work_orders import Preempted
 
 URGENT_PRIORITY = 0
 MS_PER_SECOND = 1_000
@@ -20,10 +21,10 @@
 
 
 class UnitPlan(NamedTuple):
-    """Units to start with the workers of their tasks, and units to stop."""
+    """Units to start with the workers of their tasks, and `Preempted`s to stop."""
 
     starts: tuple
-    victims: tuple
+    preempted: tuple
 
 
 class UnitPlanner:
@@ -49,6 +50,7 @@
         room = Room(workers, runs, speeds, now_ms)
         starts = []
         victims = []
+        preempted = []
         for view in views:
             placed = room.take_now(view)
             if placed:
@@ -62,10 +64,15 @@
                     most_cost=most_loss(view, now_ms),
                 )
                 if chosen:
+                    lost = sum(holding.cost for holding in chosen)
+                    chosen = tuple(holding.unit for holding in chosen)
+                    preempted.append(
+                        Preempted(chosen, view.unit, view.guaranteed, lost)
+                    )
                     victims.extend(chosen)
                     room.give_back(chosen)
                     room.reserve(view)
-        return UnitPlan(tuple(starts), tuple(victims))
+        return UnitPlan(tuple(starts), tuple(preempted))
 
 
 class Room:
@@ -184,17 +191,6 @@
     return SPEED_MARGIN * chain_left_ms / time_left_ms
 
 
-def chain_ms(progress, occurrence):
-    """Return the estimated work left on the longest chain of steps."""
-    job = progress.job
-    longest = []
-    for number, step in enumerate(job.steps):
-        before = max((longest[index] for index in step.after), default=0)
-        own = 0 if progress.step_done(occurrence, number) else step.estimate_ms
-        longest.append(before + own)
-    return max(longest, default=0)
-
-
 def _residents(workers):
     count = {}
     for worker_id, belief in workers.items():
@@ -214,14 +210,13 @@
         job = progress.job
         key = (unit.job_id, unit.occurrence)
         if key not in chains:
-            chains[key] = chain_ms(progress, unit.occurrence)
+            chains[key] = chain_left_ms(progress, unit.occurrence)
         step = step_of(job, unit)
         count = step.count if unit.index == GANG else 1
         begun_ms = job.accepted_wall_ms
         if job.repeats:
             begun_ms = job.first_wall_ms + unit.occurrence * job.period_ms
-        total_ms = sum(item.estimate_ms for item in job.steps)
-        objective_ms = job.objective_factor * total_ms + job.objective_ms
+        objective_ms = job.objective_factor * chain_ms(job) + job.objective_ms
         since_ms = now_ms - (wall_ms - begun_ms)
         need = count * step.need.accelerators
         guaranteed = job.priority == URGENT_PRIORITY and held.get(
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -18,7 +18,7 @@
 
 
 def choose_victims(step, count, sites, holdings, spread=False, most_cost=math.inf):
-    """Return the units to stop so that the tasks fit, or None if nothing helps
+    """Return the holdings to stop so that the tasks fit, or None if nothing helps
     that costs no more than `most_cost` core-seconds.
 
     Cheapest first until it fits; then each that turns out to be needless is spared,
@@ -38,7 +38,7 @@
         cost = sum(holding.cost for holding in chosen)
         if cost <= most_cost and (best is None or cost < best[0]):
             best = (cost, chosen)
-    return None if best is None else [holding.unit for holding in best[1]]
+    return None if best is None else best[1]
 
 
 def _victims_in(step, count, sites, holdings, spread):
--- a/knapweedshed/decisions/units.py
+++ b/knapweedshed/decisions/units.py
@@ -48,3 +48,26 @@
             if unit not in progress.done:
                 ready.append(unit)
     return ready
+
+
+def chain_ms(job):
+    """Return the estimated work on the longest chain of a job's steps."""
+    return _longest_chain(job, lambda number, step: step.estimate_ms)
+
+
+def chain_left_ms(progress, occurrence):
+    """Return the estimated work left on the longest chain of steps."""
+    return _longest_chain(
+        progress.job,
+        lambda number, step: (
+            0 if progress.step_done(occurrence, number) else step.estimate_ms
+        ),
+    )
+
+
+def _longest_chain(job, length_of):
+    longest = []
+    for number, step in enumerate(job.steps):
+        before = max((longest[index] for index in step.after), default=0)
+        longest.append(before + length_of(number, step))
+    return max(longest, default=0)
--- a/knapweedshed/models/work_orders.py
+++ b/knapweedshed/models/work_orders.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from knapweedshed.models.work import Task, TaskEnd
+from knapweedshed.models.work import Task, TaskEnd, Unit
 from knapweedshed.models.work_records import Launched
 
 
@@ -37,6 +37,15 @@
     launches: tuple[Launched, ...]
 
 
+class Preempted(NamedTuple):
+    """Units that are stopped for another, and the core-seconds that this loses."""
+
+    units: tuple[Unit, ...]
+    wanted_by: Unit
+    guaranteed: bool
+    lost: float
+
+
 class OrderOutcome(NamedTuple):
     """What came of an order: `done`, `refused` (with a reason), or `unknown`."""
 
--- a/tests/work_world.py
+++ b/tests/work_world.py
@@ -17,6 +17,7 @@
 from knapweedshed.models.work_orders import (
     DONE,
     OrderOutcome,
+    Preempted,
     RecordEnds,
     RecordLaunches,
     StartRun,
@@ -172,6 +173,8 @@
                 changed = self.fold(TasksEnded(self.epoch, action.ends))
                 self.dispatcher.ends_read(action.ends)
                 self.do(self.dispatcher.take_fold(changed))
+            elif isinstance(action, Preempted):
+                self.records.append(action)
             else:
                 self._give(action)
 
