Doubt a list that was asked for in the moment of an answer

A hold sent in the same millisecond as the start was answered counted as later than the answer, so its list, made before the start, showed the run as gone. Ruled out: preemption of an unlaunched run (the launch was read). Change: a list counts only if asked for in a later millisecond. Also: workers on which all stands still are left out, and runs that lose less than they waited move; a unit runs elsewhere for 3 s after a failure; paces are taken over spans; callers come back later the longer the log is down. Conclusion: times of events are compared strictly.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -24,11 +24,12 @@
 from knapweedshed.controllers.work_stream import decode_records
 from knapweedshed.decisions.acceptance import (
     APPEND_AGAIN_MS,
-    RETRY_AFTER_MS,
+    RETRY_FIRST_MS,
     AppendState,
     Verdict,
     after_failure,
     log_is_down,
+    retry_after_ms,
 )
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.filters.work_calls import refuse
@@ -129,7 +130,7 @@
         pending = pending._replace(state=state)
         self._pending[message.record_id] = pending
         if verdict == Verdict.REFUSE:
-            self._settle(pending, _log_unavailable(message.reason))
+            self._settle(pending, self._log_unavailable(message.reason))
         elif verdict == Verdict.UNKNOWN:
             self._settle(pending, _unknown())
         else:
@@ -184,7 +185,7 @@
             )
             return
         if self._log_down():
-            self._answer(call, _log_unavailable("the log is down"))
+            self._answer(call, self._log_unavailable("the log is down"))
             return
         record = WorkAccepted(_job(call, self._context.clock.wall_ms()))
         self._submitting[call.job_id] = self._append(call, record)
@@ -197,7 +198,7 @@
             self._answer(call, WorkReply())
             return
         if self._log_down():
-            self._answer(call, _log_unavailable("the log is down"))
+            self._answer(call, self._log_unavailable("the log is down"))
             return
         self._append(call, WorkCancelled(call.job_id))
 
@@ -210,13 +211,13 @@
         else:
             reason = "the log can't be read here now"
             self._answer(
-                call, refuse(ResultCode.LOG_UNAVAILABLE, reason, RETRY_AFTER_MS)
+                call, refuse(ResultCode.LOG_UNAVAILABLE, reason, RETRY_FIRST_MS)
             )
 
     def _count(self, call):
         if not self._caught_up:
             reason = "the log is not read yet"
-            self._answer(call, refuse(ResultCode.NOT_READY, reason, RETRY_AFTER_MS))
+            self._answer(call, refuse(ResultCode.NOT_READY, reason, RETRY_FIRST_MS))
             return
         waiting = self._ledger.waiting_in(call.queue.name)
         self._answer(call, WorkReply(waiting=waiting))
@@ -245,6 +246,10 @@
         age_ms = self._context.clock.now_ms() - self._read_ms
         return self._caught_up and age_ms < FRESH_MS
 
+    def _log_unavailable(self, reason):
+        after_ms = retry_after_ms(self._read_ms, self._context.clock.now_ms())
+        return refuse(ResultCode.LOG_UNAVAILABLE, reason, after_ms)
+
     def _log_down(self):
         return log_is_down(
             self._append_failed_ms,
@@ -273,10 +278,6 @@
     )
 
 
-def _log_unavailable(reason):
-    return refuse(ResultCode.LOG_UNAVAILABLE, reason, RETRY_AFTER_MS)
-
-
 def _unknown():
     reason = "the log did not say whether it took the record; ask again"
     return WorkReply(Result(ResultCode.OUTCOME_UNKNOWN, reason))
--- a/knapweedshed/decisions/acceptance.py
+++ b/knapweedshed/decisions/acceptance.py
@@ -5,7 +5,8 @@
 
 APPEND_AGAIN_MS = 150  # pause before an append of unknown outcome is repeated
 LOG_DOWN_MS = 600  # how long a failed append speaks for the log
-RETRY_AFTER_MS = 1_000  # outages of the log last seconds
+RETRY_FIRST_MS = 1_000  # another host may be served: come back soon
+RETRY_LATER_MS = 2_000  # the log has been down for a while: few tries must outlast it
 
 
 class Verdict(StrEnum):
@@ -41,3 +42,10 @@
 def log_is_down(failed_ms, succeeded_ms, now_ms):
     """Return whether the last failed append still says that the log is down."""
     return failed_ms > succeeded_ms and now_ms - failed_ms < LOG_DOWN_MS
+
+
+def retry_after_ms(succeeded_ms, now_ms):
+    """Return when a refused caller should come back, by how long the log is down."""
+    if now_ms - succeeded_ms < RETRY_FIRST_MS:
+        return RETRY_FIRST_MS
+    return RETRY_LATER_MS
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -44,7 +44,11 @@
 
 START_TRIES_COUNT = 3  # within the time that a gang waits for its members
 LEARN_MS = 500  # between two workings out of speeds
-SHORTEST_PACE_MS = 400  # a run's progress says little before
+STALL_MS = 1_800  # nearly two lists without progress
+STALL_PERCENTS = 3  # and the time of some steps of progress on a slow worker
+SLOW_SPEED_RATIO = 0.5
+HANG_PAUSE_MS = 2_500  # a worker that hangs is looked at again after this
+AVOID_MS = 3_000  # a unit that failed runs elsewhere, unless nowhere else is free
 RECORD_AGAIN_MS = 1_500  # an end whose record isn't read back by then is written again
 NOT_STARTED = (
     REASON_OLD,
@@ -96,6 +100,7 @@
         self._listed = False
         self._speeds = WorkerSpeeds()
         self._taken_up = set()
+        self._avoided = {}
         self._learned_ms = now_ms
         self._adopt_launches(now_ms)
 
@@ -226,6 +231,7 @@
         if now_ms - self._learned_ms >= LEARN_MS:
             self._learned_ms = now_ms
             self._speeds.learn(now_ms)
+            actions.extend(self._stop_hanging(now_ms))
         for belief in list(self._workers.values()):
             actions.extend(self._clear(belief, belief.lapse(now_ms)))
             if belief.entry is None:
@@ -270,6 +276,7 @@
             self._runs,
             self._configuration,
             self._speeds,
+            self._avoided,
             now_ms,
             wall_ms,
         )
@@ -365,6 +372,39 @@
         for task, worker_id in run.where.items():
             self._workers[worker_id].members.pop((task, run.run), None)
 
+    def _patience_ms(self, member):
+        """Return how long a member may go without progress unsuspected."""
+        progress = self._ledger.jobs.get(member.task.job_id)
+        if progress is None:
+            return STALL_MS
+        estimate_ms = progress.job.steps[member.task.step].estimate_ms
+        return STALL_MS + STALL_PERCENTS * estimate_ms / 100 / SLOW_SPEED_RATIO
+
+    def _stop_hanging(self, now_ms):
+        """Leave out workers that hang; move what loses less than it has waited."""
+        orders = []
+        for belief in self._workers.values():
+            if not belief.hangs(now_ms, self._patience_ms):
+                continue
+            belief.leave_out(now_ms + HANG_PAUSE_MS)
+            for key, member in list(belief.members.items()):
+                stalled_ms = now_ms - member.moved_ms
+                if member.phase != MemberPhase.RUNNING or not member.seen:
+                    continue
+                if self._lost_ms(member) <= stalled_ms:
+                    orders.extend(self._stop_member(belief, key))
+        return orders
+
+    def _lost_ms(self, member):
+        """Return the work that a stop of a member's run would lose."""
+        progress = self._ledger.jobs.get(member.task.job_id)
+        if progress is None:
+            return 0
+        step = progress.job.steps[member.task.step]
+        if step.checkpoints:
+            return 0
+        return step.estimate_ms * member.percent / 100
+
     def _note_paces(self, belief, gone, now_ms):
         """Learn speeds from what runs, and from what ended as done."""
         for member in belief.members.values():
@@ -386,8 +426,6 @@
         if unit in self._taken_up:
             return
         ran_ms = now_ms - run.started_ms
-        if ran_ms < SHORTEST_PACE_MS:
-            return
         key = (unit if step.gang else member.task, member.run)
         at = run.workers
         self._speeds.observe(
@@ -398,6 +436,7 @@
         for end in ends:
             if end.kind == EndKind.FAILED:
                 belief.strike(now_ms)
+                self._avoid(end.task, belief.worker_id, now_ms)
             elif end.kind == EndKind.DONE:
                 belief.praise()
             known = end.task.job_id in self._ledger.jobs
@@ -405,6 +444,12 @@
                 belief.unrecorded[end.number] = end
                 self._unrecorded[end.task, end.run] = end
 
+    def _avoid(self, task, worker_id, now_ms):
+        """Run a unit elsewhere next, so that a sick worker fails it once only."""
+        if task.job_id in self._ledger.jobs:
+            until = self._avoided.setdefault(self._unit_of(task), {})
+            until[worker_id] = now_ms + AVOID_MS
+
     def _record(self, ends, now_ms):
         for end in ends:
             self._record_sent_ms[end.task, end.run] = now_ms
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -33,7 +33,8 @@
 
     `settled_ms` is when the last order for it was answered; a list asked for after
     that shows whether the run is there. `IN_FLIGHT` and `TO_REPEAT` stand for an order
-    that has no answer yet, and one that must be given again. `tries` counts starts.
+    that has no answer yet, and one that must be given again. `tries` counts starts;
+    `moved_ms` is when `percent` was last seen to rise.
     """
 
     task: Task
@@ -46,6 +47,7 @@
     saved: str = ""
     seen: bool = False
     tries: int = 1
+    moved_ms: int = 0
 
 
 class Gone(NamedTuple):
@@ -165,7 +167,7 @@
             member = self.members.pop((end.task, end.run), None)
             if member is not None:
                 gone.append(Gone(member, end.kind, end.saved))
-        strange = self._match_running(lists.running)
+        strange = self._match_running(lists.running, now_ms)
         gone.extend(self._not_listed(lists.running, sent_ms))
         return gone, tuple(ends), strange
 
@@ -179,6 +181,24 @@
             return True
         return False
 
+    def hangs(self, now_ms, patience_of):
+        """Return whether all that has run here for a while stands still.
+
+        `patience_of` returns how long a member may go without a step of progress.
+        """
+        watched = [
+            member
+            for member in self.members.values()
+            if member.seen and member.phase == MemberPhase.RUNNING
+        ]
+        return bool(watched) and all(
+            self.heard_ms - member.moved_ms > patience_of(member) for member in watched
+        )
+
+    def leave_out(self, until_ms):
+        """Place nothing here before `until_ms`."""
+        self.sick_until_ms = max(self.sick_until_ms, until_ms)
+
     def praise(self):
         """Work ended well here."""
         self.strikes = 0
@@ -190,7 +210,7 @@
             self._clock_at_ms + int(left_ms / CLOCK_SLOWNESS_RATIO) + LAPSE_MARGIN_MS
         )
 
-    def _match_running(self, running):
+    def _match_running(self, running, now_ms):
         strange = []
         for listed in running:
             key = (listed.task, listed.run)
@@ -201,7 +221,9 @@
             phase = member.phase
             if phase == MemberPhase.STARTING:
                 phase = MemberPhase.RUNNING
+            moved = not member.seen or listed.percent > member.percent
             self.members[key] = member._replace(
+                moved_ms=now_ms if moved else member.moved_ms,
                 phase=phase,
                 percent=listed.percent,
                 saved=listed.saved or member.saved,
@@ -213,7 +235,7 @@
         listed = {(run.task, run.run) for run in running}
         gone = []
         for key, member in list(self.members.items()):
-            settled = 0 <= member.settled_ms <= sent_ms
+            settled = 0 <= member.settled_ms < sent_ms
             if settled and key not in listed:
                 del self.members[key]
                 gone.append(Gone(member, None))
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -41,13 +41,14 @@
         runs,
         configuration,
         speeds,
+        avoided,
         now_ms,
         wall_ms,
     ):
         """Return a `UnitPlan`."""
         views = _waiting_views(waiting, ledger, runs, configuration, now_ms, wall_ms)
         views.sort(key=lambda view: self._order.key(view, now_ms))
-        room = Room(workers, runs, speeds, now_ms)
+        room = Room(workers, runs, speeds, avoided, now_ms)
         starts = []
         victims = []
         preempted = []
@@ -78,7 +79,9 @@
 class Room:
     """Free capacity now, and once everything that is being stopped has ended."""
 
-    def __init__(self, workers, runs, speeds, now_ms):
+    def __init__(self, workers, runs, speeds, avoided, now_ms):
+        self._avoided = avoided
+        self._now_ms = now_ms
         self._runs = runs
         self._speeds = speeds
         self._workers = {
@@ -139,6 +142,7 @@
 
     def _sites(self, view, free_of):
         key = (view.unit.job_id, view.unit.occurrence, view.unit.step)
+        avoided = self._avoided.get(view.unit, {})
         return [
             Site(
                 worker_id,
@@ -150,6 +154,7 @@
             )
             for worker_id, belief in self._workers.items()
             if belief.entry.service == view.service
+            and avoided.get(worker_id, 0) <= self._now_ms
         ]
 
     def _subtract(self, view, chosen, now):
--- a/knapweedshed/decisions/speeds.py
+++ b/knapweedshed/decisions/speeds.py
@@ -18,6 +18,10 @@
 SLOWEST = 0.1
 HALF_LIFE_MS = 8_000  # workers turn slow and recover within some seconds
 SWEEPS_COUNT = 3
+SPAN_MS = 800  # progress comes in whole percents, and lists each second
+SHORTEST_SPAN_MS = 300  # what a last step of progress says is rough
+LEAST_PERCENT = 0.3  # a run that stands still is slow beyond measure
+DONE_PERCENT = 100.0
 
 
 class Pace(NamedTuple):
@@ -34,13 +38,25 @@
 
     def __init__(self):
         self._paces = {}
+        self._anchors = {}
         self._speeds = {}
 
     def observe(self, key, job_id, worker_ids, percent, ran_ms, estimate_ms, now_ms):
-        """Take the progress of a run; `key` names the run, later takes replace it."""
-        if percent <= 0 or ran_ms <= 0 or estimate_ms <= 0:
+        """Take the progress of a run; `key` names the run.
+
+        A pace is taken over spans of `SPAN_MS`, so that a worker that turns slow shows.
+        """
+        if estimate_ms <= 0:
+            return
+        from_percent, from_ms = self._anchors.get(key, (0.0, now_ms - ran_ms))
+        span_ms = now_ms - from_ms
+        if span_ms < SPAN_MS and percent < DONE_PERCENT:
             return
-        value = math.log(percent / 100 * estimate_ms / ran_ms)
+        if span_ms < SHORTEST_SPAN_MS:
+            return
+        self._anchors[key] = (percent, now_ms)
+        moved = max(percent - from_percent, LEAST_PERCENT)
+        value = math.log(moved / DONE_PERCENT * estimate_ms / span_ms)
         self._paces[key] = Pace(job_id, tuple(sorted(set(worker_ids))), value, now_ms)
 
     def speed(self, worker_id):
@@ -67,6 +83,9 @@
             for key, pace in self._paces.items()
             if now_ms - pace.seen_ms < 5 * HALF_LIFE_MS
         }
+        self._anchors = {
+            key: anchor for key, anchor in self._anchors.items() if key in self._paces
+        }
         logs = {name: math.log(speed) for name, speed in self._speeds.items()}
         prior = dict(logs)
         for _ in range(SWEEPS_COUNT):
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -112,6 +112,17 @@
         world.hold_all()
         self.assertEqual(world.started[-1].run, 2)
 
+    def test_list_asked_for_in_the_moment_of_an_answer_shows_nothing(self):
+        world = World(workers=1)
+        world.accept(make_job())
+        world.take_role()
+        world.running["w0"].clear()
+        world.hold_all()
+        self.assertEqual(len(world.started), 1)
+        world.now_ms += 1
+        world.hold_all()
+        self.assertEqual(len(world.started), 2)
+
     def test_refusal_after_an_unanswered_start_does_not_say_not_run(self):
         world = World(workers=2)
         world.accept(make_job())
