Count a predecessor's lease at a reached worker; hold what the list has lost

Change: the first list of a term counts a whole lease; a worker that the list lacks is held while anything is there. Also found by the new process tests: answers during a planned stop were 500 (waitress refuses a Connection header); a malformed capacity stopped the reading of the whole list; a settings fault ended with a traceback.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -10,6 +10,7 @@
 from knapweedshed.codecs import text
 from knapweedshed.controllers.base import Controller
 from knapweedshed.controllers.messages import (
+    AppendDone,
     AppendFailed,
     AppendRecord,
     LogUnreadable,
@@ -43,7 +44,10 @@
 from knapweedshed.links.worker_links import WorkerLinks
 from knapweedshed.models.service import ServiceConfiguration
 from knapweedshed.models.work_orders import (
+    DONE,
     REASON_FENCE,
+    UNKNOWN,
+    OrderOutcome,
     Preempted,
     RecordEnds,
     RecordLaunches,
@@ -59,6 +63,7 @@
 
 LOG_PAUSE_MS = 300  # after a refused append, before anything new is launched
 TICK_MS = 200
+NOT_GIVEN = OrderOutcome(UNKNOWN, "no word from the log")
 
 
 class SchedulingController(Controller):
@@ -168,7 +173,7 @@
             self._fenced()
             return
         order, outcome = message.order, message.outcome
-        if outcome.kind != "done":
+        if outcome.kind != DONE:
             self._context.logger.info(
                 "order not done",
                 extra={
@@ -184,6 +189,10 @@
         self._do(self._dispatcher.take_outcome(order, outcome, self._now_ms()))
         self._plan_soon()
 
+    @receive.register
+    def appended(self, message: AppendDone):
+        """Wait for the record to be read back: only that says that it counts."""
+
     @receive.register
     def not_appended(self, message: AppendFailed):
         """Repeat what may have been written; take back what certainly was not."""
@@ -320,9 +329,7 @@
             self._hold(worker_id)
 
     def _hold(self, worker_id):
-        belief = self._dispatcher.workers.get(worker_id)
-        if belief is None or belief.entry is None:
-            self._links.drop(worker_id)
+        if not self._is_held(worker_id):
             return
         now_ms = self._now_ms()
         if not may_order(self._standing(), now_ms):
@@ -331,14 +338,24 @@
         deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, now_ms)
         self._links.hold(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
 
+    def _is_held(self, worker_id):
+        """Return whether to go on holding a worker; drop its links otherwise.
+
+        What still runs at a worker that the list lacks is held until its lease lapses:
+        the list loses entries when the platform's store is away.
+        """
+        belief = self._dispatcher.workers.get(worker_id)
+        if belief is not None and (belief.entry is not None or belief.members):
+            return True
+        self._links.drop(worker_id)
+        return False
+
     def _hold_failed(self, worker_id, failure):
         if failure.reason == REASON_FENCE:
             self._fenced()
             return
         self._context.metrics.count("holds.failures")
-        belief = self._dispatcher.workers.get(worker_id)
-        if belief is None or belief.entry is None:
-            self._links.drop(worker_id)
+        if not self._is_held(worker_id):
             return
         deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, self._now_ms())
         self._links.hold_later(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
@@ -355,7 +372,7 @@
             elif may_order(self._standing(), self._now_ms()):
                 self._links.order(Order(action, self._ledger.epoch))
             else:
-                late = OrderAnswered(action, self._ledger.epoch, _not_given())
+                late = OrderAnswered(action, self._ledger.epoch, NOT_GIVEN)
                 self._timer.after(LOG_PAUSE_MS, self.actor_ref, late)
 
     def _log_launches(self, launches):
@@ -442,9 +459,3 @@
 
     def _now_ms(self):
         return self._context.clock.now_ms()
-
-
-def _not_given():
-    from knapweedshed.models.work_orders import UNKNOWN, OrderOutcome
-
-    return OrderOutcome(UNKNOWN, "no word from the log")
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -127,7 +127,9 @@
             listed.add(entry.worker_id)
             belief = self._workers.get(entry.worker_id)
             if belief is None:
-                belief = WorkerBelief(entry.worker_id, entry.incarnation, now_ms)
+                belief = WorkerBelief(
+                    entry.worker_id, entry.incarnation, now_ms, self._bounds.lease_ms
+                )
                 self._workers[entry.worker_id] = belief
             orders.extend(self._clear(belief, belief.renew(entry)))
         for worker_id, belief in list(self._workers.items()):
@@ -234,8 +236,6 @@
             actions.extend(self._stop_hanging(now_ms))
         for belief in list(self._workers.values()):
             actions.extend(self._clear(belief, belief.lapse(now_ms)))
-            if belief.entry is None:
-                continue
             for key, member in list(belief.members.items()):
                 if member.settled_ms == TO_REPEAT:
                     belief.members[key] = member._replace(settled_ms=IN_FLIGHT)
@@ -311,7 +311,9 @@
                     worker_id, incarnation = at
                     belief = self._workers.get(worker_id)
                     if belief is None or belief.incarnation < incarnation:
-                        belief = WorkerBelief(worker_id, incarnation, off_ms)
+                        belief = WorkerBelief(
+                            worker_id, incarnation, off_ms, self._bounds.lease_ms
+                        )
                         self._workers[worker_id] = belief
                     belief.members[task, launched.run] = Member(
                         task,
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -61,7 +61,7 @@
 class WorkerBelief:
     """One worker, by its id; forgets what was there when it starts anew."""
 
-    def __init__(self, worker_id, incarnation, written_off_ms):
+    def __init__(self, worker_id, incarnation, written_off_ms, lease_ms):
         self.worker_id = worker_id
         self.incarnation = incarnation
         self.entry = None
@@ -73,6 +73,7 @@
         self.sick_until_ms = 0
         self.strikes = 0
         self._lapse_ms = written_off_ms
+        self._lease_ms = lease_ms
         self._clock_ms = 0
         self._clock_at_ms = 0
         self._lease_clock_ms = 0
@@ -156,6 +157,9 @@
         gone = []
         if lists.incarnation != self.incarnation:
             gone.extend(self.forget(lists.incarnation))
+        if not self.reached:
+            # A predecessor, or an earlier life of ours, may have renewed until now.
+            self._lease_clock_ms = lists.clock_ms + self._lease_ms
         self.reached = True
         self.heard_ms = now_ms
         self._clock_ms = lists.clock_ms
--- a/knapweedshed/links/work_front.py
+++ b/knapweedshed/links/work_front.py
@@ -35,7 +35,7 @@
         self._server.start()
 
     def leave(self):
-        """Say that this host is not ready, and let connections end."""
+        """Say that this host is not ready."""
         self._leaving = True
 
     def close(self):
@@ -56,11 +56,7 @@
         except pykka.Timeout:
             reason = "no answer in the caller's time; ask again with the same id"
             found = WorkReply(Result(ResultCode.OUTCOME_UNKNOWN, reason))
-        answer = self._codec.encode(found)
-        if self._leaving:
-            headers = (*answer.headers, ("Connection", "close"))
-            answer = answer._replace(headers=headers)
-        return answer
+        return self._codec.encode(found)
 
     def _readiness(self, call):
         if self._leaving:
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -8,6 +8,7 @@
 from knapweedshed.models.calls import CallKind, JobDraft, WorkCall
 from knapweedshed.models.work import Step
 from knapweedshed.platform.feeds import decode_need
+from knapweedshed.platform.store import UNREADABLE
 from knapweedshed.results import ResultCode
 
 DEADLINE_HEADER = "X-Knapweedshed-Deadline-Ms"
@@ -99,7 +100,7 @@
             int(plain.get("period_ms", 0)),
             int(plain.get("repeats", 0)),
         )
-    except (text.TextError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         return None, f"not a job: {error!r}"[:300]
     return (draft, "") if _sound(steps) else (None, "steps must follow earlier ones")
 
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -5,7 +5,7 @@
 from knapweedshed.links.service import ConfigurationFeed, WorkerFeed
 from knapweedshed.models.service import Owner, Queue, ServiceConfiguration
 from knapweedshed.models.work import Resources, WorkerEntry
-from knapweedshed.platform.store import Store
+from knapweedshed.platform.store import UNREADABLE, Store
 
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
@@ -65,7 +65,7 @@
             return None
         try:
             return decode_configuration(text.loads(value))
-        except (text.TextError, KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             self._logger.error(
                 "configuration unreadable", extra={"reason": repr(error)[:300]}
             )
@@ -107,7 +107,7 @@
     def _decode(self, key, value):
         try:
             return decode_worker(key, text.loads(value))
-        except (text.TextError, KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             self._logger.warning(
                 "worker entry unreadable",
                 extra={"worker": key, "reason": repr(error)[:300]},
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -24,6 +24,18 @@
 OK = 200
 
 
+# What decoding of a body raises that is not what the page says it is.
+UNREADABLE = (
+    text.TextError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+)
+
+
 class RawPage(NamedTuple):
     """Records as bytes, from `first_offset` on; `end` follows the last one stored."""
 
@@ -51,7 +63,7 @@
             return found
         try:
             return int(text.loads(found.body)["offset"])
-        except (text.TextError, KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             return NoAnswer(f"append answer unreadable: {error}")
 
     def read(self, topic, from_offset, wait_ms):
@@ -84,7 +96,7 @@
                     after = item["key"]
                 end = page["end"] if end < 0 else end
                 more = bool(page.get("more_pages")) and bool(page["items"])
-            except (text.TextError, KeyError, TypeError, ValueError) as error:
+            except UNREADABLE as error:
                 return NoAnswer(f"list of keys unreadable: {error}")
         return values, end
 
@@ -134,7 +146,7 @@
 def _gone(body):
     try:
         first = int(text.loads(body)["first"])
-    except (text.TextError, KeyError, TypeError, ValueError) as error:
+    except UNREADABLE as error:
         return NoAnswer(f"answer unreadable: {error}")
     return RawPage(first, (), first + 1, first)
 
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -15,6 +15,7 @@
     UNKNOWN,
     OrderOutcome,
 )
+from knapweedshed.platform.store import UNREADABLE
 
 CONNECT_MS = 500
 ANSWER_MS = 600  # an order takes some ms; a gang's members wait 3 s for each other
@@ -70,7 +71,7 @@
             return Refused(_reason(found))
         try:
             return decode_lists(text.loads(found.body))
-        except (text.TextError, KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             return NoAnswer(f"lists unreadable: {error!r}"[:300])
 
     def _order(self, path, body):
@@ -122,6 +123,6 @@
     if response.status == CONFLICT:
         try:
             return str(text.loads(response.body)["reason"])
-        except (text.TextError, KeyError, TypeError):
+        except UNREADABLE:
             return REASON_FENCE
     return f"HTTP status {response.status}"
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -33,7 +33,7 @@
 from knapweedshed.models.work_records import WORK_STREAM
 from knapweedshed.programs.daemon import Daemon, run_daemon
 from knapweedshed.programs.dumping import collect
-from knapweedshed.settings import Setting
+from knapweedshed.settings import Setting, SettingsError
 from knapweedshed.timers import Timer
 
 STREAM_WAIT_MS = 1_000  # a silent connection to the log is noticed soon after
@@ -132,19 +132,25 @@
 
 
 def create_host(program, settings):
-    """Return (host, logger) by the platform's own settings."""
+    """Return (host, logger) by the platform's own settings; raises SettingsError."""
     register_all()
     clock = create_clock()
     logger = create_logger(program, program, level=settings.log_level)
-    platform = create_service_platform(settings.platform, clock, logger)
-    host_settings = platform.settings()
+    try:
+        platform = create_service_platform(settings.platform, clock, logger)
+        host_settings = platform.settings()
+    except ValueError as error:
+        raise SettingsError([str(error)]) from error
     logger = create_logger(
         program, host_settings.name, host_settings.data_centre, settings.log_level
     )
     metrics = create_metrics(settings.statsd, program)
     context = create_context(settings, logger, metrics, "")
     context = context._replace(process_id=context.new_id()[:8])
-    return Host(context, platform, host_settings), logger
+    try:
+        return Host(context, platform, host_settings), logger
+    except OSError as error:
+        raise SettingsError([f"{host_settings.front}: {error}"]) from error
 
 
 def main():
--- /dev/null
+++ b/tests/test_fleet_platform.py
@@ -0,0 +1,271 @@
+"""The adapter to the users' platform, against stand-ins that speak its formats."""
+
+import json
+import logging
+import unittest
+
+from knapweedshed.clock import create_clock
+from knapweedshed.links.http_server import Call
+from knapweedshed.links.platform import LogRecord, NoAnswer, Refused
+from knapweedshed.models.calls import CallKind, WorkReply
+from knapweedshed.models.work import Resources, Task, WorkState
+from knapweedshed.models.work_orders import (
+    DONE,
+    REASON_FENCE,
+    REASON_UNREACHABLE,
+    UNKNOWN,
+    StartRun,
+    StopRun,
+)
+from knapweedshed.platform.callers import JsonCallers
+from knapweedshed.platform.feeds import StoredConfiguration, StoredWorkers
+from knapweedshed.platform.settings import decode_settings
+from knapweedshed.platform.store import StoredLog
+from knapweedshed.platform.workers import HttpWorker, decode_task, encode_task
+from knapweedshed.results import Result, ResultCode
+from tests.fleet_standin import FakeStore, FakeWorker
+from tests.ports import free_port
+
+SILENT = logging.getLogger("knapweedshed.silent")
+TASK = Task("a" * 16, 0, 1, 17)
+SETTINGS = {
+    "node": "edge-1",
+    "zone": "tunis",
+    "listen": {"front": "127.0.0.1:8521", "ready": "127.0.0.1:8523"},
+    "bounds": {"grace_s": 6, "hold_max_ms": 6000, "early_ms": 250},
+    "platform": {"addr": "127.0.0.1:8524"},
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "plans",
+            "host": "n.example",
+            "path_prefix": "/plans/",
+            "service": "planner",
+            "priority": 1,
+            "max_attempts": 3,
+            "slo_factor": 3.0,
+            "slo_ms": 1000,
+        }
+    ],
+    "tenants": [{"name": "sahel", "api_keys": ["k1"], "guaranteed": {"gpu": 32}}],
+    "limits": {"max_body_bytes": 1000},
+}
+
+
+class StoreTest(unittest.TestCase):
+    """Log, configuration and entries in the store."""
+
+    def setUp(self):
+        self.store = FakeStore(free_port())
+        self.addCleanup(self.store.close)
+        self.clock = create_clock()
+
+    def test_records_come_back_in_order_with_their_ids(self):
+        log = StoredLog(self.clock, self.store.address)
+        self.addCleanup(log.close)
+        records = [LogRecord("r1", '{"a":1}'), LogRecord("r2", "é\nline")]
+        self.assertEqual(log.append("work", records), 0)
+        page = log.read("work", 0, 500, 0)
+        found = [(item.offset, item.record_id, item.body) for item in page.records]
+        self.assertEqual(found, [(0, "r1", '{"a":1}'), (1, "r2", "é\nline")])
+        self.assertEqual(page.end, 2)
+
+    def test_lost_answer_is_unknown_and_refusal_is_not(self):
+        log = StoredLog(self.clock, self.store.address)
+        self.addCleanup(log.close)
+        self.store.lose = 1
+        self.assertIsInstance(log.append("work", [LogRecord("r", "x")]), NoAnswer)
+        self.store.down = True
+        self.assertIsInstance(log.append("work", [LogRecord("r", "x")]), Refused)
+
+    def test_reading_goes_on_where_the_history_begins(self):
+        log = StoredLog(self.clock, self.store.address)
+        self.addCleanup(log.close)
+        log.append("work", [LogRecord(f"r{n}", "x") for n in range(4)])
+        self.store.drop_history("work")
+        log.append("work", [LogRecord("r4", "y")])
+        gone = log.read("work", 0, 500, 0)
+        self.assertEqual(gone.next_offset, 4)
+        page = log.read("work", gone.next_offset, 500, 0)
+        self.assertEqual([item.record_id for item in page.records], ["r4"])
+
+    def test_configuration_is_followed_through_a_dropped_history(self):
+        feed = StoredConfiguration(self.clock, self.store.address, SILENT)
+        self.addCleanup(feed.close)
+        self.assertIsNone(feed.read(0))
+        self.store.put("keyed.op", "config", CONFIGURATION)
+        found = feed.read(100)
+        self.assertEqual(found.version, 7)
+        self.assertEqual(found.guaranteed("sahel"), 32)
+        self.assertEqual(found.owner_of_key("k1"), "sahel")
+        self.assertEqual(found.queue_for("n.example", "/plans/ab").name, "plans")
+        self.store.put("keyed.op", "config", {**CONFIGURATION, "version": 9})
+        self.store.drop_history("keyed.op")
+        self.assertEqual(feed.read(100).version, 9)
+
+    def test_configuration_that_cant_be_read_changes_nothing(self):
+        feed = StoredConfiguration(self.clock, self.store.address, SILENT)
+        self.addCleanup(feed.close)
+        for bad in (b"\xff", {"version": "x"}, {"routes": 3, "version": 1}):
+            self.store.put("keyed.op", "config", bad)
+            self.assertIsNone(feed.read(0))
+
+    def test_malformed_entries_name_no_worker_and_the_others_hold(self):
+        worker = FakeWorker(self.store, "i-1", free_port())
+        self.addCleanup(worker.close)
+        good = self.store.topics["keyed.servers"][0][4:]
+        fields = json.loads(good)
+        changes = {
+            "i-2": {"state": "asleep"},
+            "i-3": {"born": "x"},
+            "i-4": {"capacity": 5},
+            "i-5": {"labels": None},
+            "i-6": {"addr": 7},
+        }
+        for key, change in changes.items():
+            self.store.put("keyed.servers", key, {**fields, **change})
+        self.store.put("keyed.servers", "i-7", b"\x00\xff")
+        feed = StoredWorkers(self.clock, self.store.address, SILENT)
+        self.addCleanup(feed.close)
+        self.assertEqual([entry.worker_id for entry in feed.read()], ["i-1"])
+
+    def test_entry_without_a_value_is_gone(self):
+        feed = StoredWorkers(self.clock, self.store.address, SILENT)
+        self.addCleanup(feed.close)
+        worker = FakeWorker(self.store, "i-1", free_port())
+        self.addCleanup(worker.close)
+        self.assertEqual(len(feed.read()), 1)
+        self.store.put("keyed.servers", "i-1", b"")
+        self.assertEqual(feed.read(), ())
+
+
+class WorkerTest(unittest.TestCase):
+    """Calls of one worker."""
+
+    def setUp(self):
+        store = FakeStore(free_port())
+        self.addCleanup(store.close)
+        self.fake = FakeWorker(store, "i-1", free_port(), run_s=60)
+        self.addCleanup(self.fake.close)
+        feed = StoredWorkers(create_clock(), store.address, SILENT)
+        self.addCleanup(feed.close)
+        self.calls = HttpWorker(create_clock(), feed.read()[0])
+        self.addCleanup(self.calls.close)
+
+    def _start(self, fence=1):
+        return self.calls.start(StartRun("i-1", TASK, 2, "text", "", 9_000), fence)
+
+    def test_start_is_listed_and_stop_ends_it(self):
+        self.assertEqual(self._start().kind, DONE)
+        lists = self.calls.hold(1, 9_000, 0, 0)
+        self.assertEqual([(r.task, r.run) for r in lists.running], [(TASK, 2)])
+        self.assertEqual(self.calls.stop(StopRun("i-1", TASK, 2), 1).kind, DONE)
+        lists = self.calls.hold(1, 9_000, 0, 0)
+        self.assertEqual([end.kind for end in lists.ended], ["stopped"])
+
+    def test_lower_fence_is_refused(self):
+        self.calls.hold(5, 0, 0, 0)
+        self.assertEqual(self._start(fence=4).reason, REASON_FENCE)
+        self.assertEqual(self.calls.hold(4, 0, 0, 0), Refused(REASON_FENCE))
+
+    def test_lost_answer_is_unknown(self):
+        self.fake.lose_starts = 1
+        self.assertNotEqual(self._start().kind, DONE)
+        self.assertEqual(self.fake.starts, [(encode_task(TASK), 2)])
+
+    def test_nothing_is_sent_to_a_worker_that_is_gone(self):
+        self.fake.close()
+        outcome = self._start()
+        self.assertIn(outcome.kind, ("refused", UNKNOWN))
+        if outcome.kind == "refused":
+            self.assertEqual(outcome.reason, REASON_UNREACHABLE)
+
+    def test_task_names_are_read_as_they_are_written(self):
+        self.assertEqual(decode_task(encode_task(TASK)), TASK)
+        with self.assertRaises(ValueError):
+            decode_task("x.1")
+
+
+class CallersTest(unittest.TestCase):
+    """Callers' bodies, good and bad."""
+
+    def _decode(self, body, method="POST"):
+        headers = {
+            "Host": "n.example:80",
+            "Authorization": "Token k1",
+            "X-Knapweedshed-Deadline-Ms": "1500",
+        }
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        call = Call(method, "/plans/ab", {}, lambda n: headers.get(n, ""), raw, 1)
+        return JsonCallers().decode(call, "id", 1_000)
+
+    def test_job_is_decoded_once_into_our_types(self):
+        step = {
+            "count": 3,
+            "cpu": 500,
+            "mem_mb": 256,
+            "gpu": 1,
+            "est_ms": 900,
+            "gang": True,
+            "max_per_server": 2,
+        }
+        call = self._decode({"spec": "s", "steps": [step]})
+        self.assertEqual((call.host, call.key), ("n.example", "k1"))
+        self.assertEqual(call.deadline_ms, 2_500)
+        self.assertEqual(call.draft.steps[0].need, Resources(500, 256, 1))
+        self.assertTrue(call.draft.steps[0].gang)
+        self.assertEqual(call.draft.steps[0].most_per_worker, 2)
+
+    def test_bad_bodies_have_a_reason_and_no_draft(self):
+        ahead = {"count": 1, "depends_on": [0]}
+        for body in (
+            b"",
+            b"\xff",
+            b"[]",
+            {"spec": 3, "steps": []},
+            {"spec": "s", "steps": []},
+            {"spec": "s", "steps": [ahead]},
+            {"spec": "s", "steps": [{"count": 0}]},
+            {"spec": "s", "steps": [{"count": 1, "cpu": -5}]},
+            {"spec": "s" * 4_001, "steps": [{"count": 1}]},
+        ):
+            call = self._decode(body)
+            self.assertIsNone(call.draft, body)
+            self.assertTrue(call.fault)
+
+    def test_replies_say_what_the_page_asks_for(self):
+        codec = JsonCallers()
+        refusal = WorkReply(Result(ResultCode.LOG_UNAVAILABLE, "x"), None, -1, 1_200)
+        answer = codec.encode(refusal)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(("Retry-After", "2"), answer.headers)
+        for code, status in ((107, 410), (110, 401), (102, 404), (400, 504)):
+            reply = WorkReply(Result(ResultCode(code), "x"))
+            self.assertEqual(codec.encode(reply).status, status)
+        shown = codec.encode(WorkReply(state=WorkState.RUNNING))
+        self.assertEqual(json.loads(shown.body), {"state": "running"})
+        self.assertEqual(self._decode(b"", "GET").kind, CallKind.STATE)
+        self.assertIsNone(self._decode(b"", "PATCH"))
+
+
+class SettingsFileTest(unittest.TestCase):
+    """The platform's settings file."""
+
+    def test_fields_are_read(self):
+        settings, store = decode_settings(SETTINGS)
+        self.assertEqual((settings.name, settings.lease_ms), ("edge-1", 6_000))
+        self.assertEqual(store, "127.0.0.1:8524")
+
+    def test_each_fault_is_named(self):
+        for change in ({"listen": {}}, {"bounds": {"grace_s": "x"}}, {"node": None}):
+            plain = {**SETTINGS, **change}
+            if change == {"node": None}:
+                del plain["node"]
+            with self.assertRaisesRegex(ValueError, "settings file"):
+                decode_settings(plain)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -267,6 +267,18 @@
         world.hold_all()
         self.assertEqual(len(world.started), 2)
 
+    def test_lease_of_the_predecessor_is_counted_at_a_reached_worker(self):
+        world = World(workers=2)
+        world.accept(make_job())
+        world.take_role()
+        first = world.started[0].worker_id
+        world.take_role()
+        world.entries = [e for e in world.entries if e.worker_id != first]
+        world.list_workers()
+        world.pass_time(3_000)
+        world.hold_all()
+        self.assertEqual(len(world.started), 1)
+
     def test_new_work_does_not_wait_for_an_unreached_worker(self):
         world = World(workers=2)
         world.accept(make_job())
--- /dev/null
+++ b/tests/test_work_ledger.py
@@ -0,0 +1,132 @@
+"""The fold of the work stream: first record wins, stale epochs are void."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedshed.decisions.work_ledger import WorkLedger
+from knapweedshed.models.work import GANG, EndKind, Task, TaskEnd, Unit, WorkState
+from knapweedshed.models.work_records import (
+    ActingClaimed,
+    ActingResigned,
+    Launched,
+    RunsLaunched,
+    TasksEnded,
+    WorkAccepted,
+    WorkCancelled,
+)
+from tests.work_world import make_job, make_step
+
+JOB = "a" * 16
+
+
+def fold(*records):
+    """Return a ledger that folded the records."""
+    ledger = WorkLedger()
+    for offset, record in enumerate(records):
+        ledger.fold(offset, record)
+    return ledger
+
+
+def end(index, kind=EndKind.DONE, run=1, saved=""):
+    """Return the end of a task of the first step."""
+    return TaskEnd(1, Task(JOB, 0, 0, index), run, kind, saved)
+
+
+class WorkLedgerTest(unittest.TestCase):
+    """One stream, read in order."""
+
+    def test_first_record_of_a_job_id_counts(self):
+        other = make_job(priority=0)
+        ledger = fold(WorkAccepted(make_job()), WorkAccepted(other))
+        self.assertEqual(ledger.jobs[JOB].job.priority, 1)
+
+    def test_ends_under_a_replaced_epoch_are_void(self):
+        ledger = fold(
+            WorkAccepted(make_job()),
+            ActingClaimed(1, "h1"),
+            ActingClaimed(2, "h2"),
+            TasksEnded(1, (end(0),)),
+        )
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.PENDING)
+        ledger.fold(9, TasksEnded(2, (end(0),)))
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.COMPLETED)
+
+    def test_second_claim_of_an_epoch_is_void(self):
+        ledger = fold(ActingClaimed(1, "h1"), ActingClaimed(1, "h2"))
+        self.assertEqual((ledger.epoch, ledger.acting_host), (1, "h1"))
+
+    def test_resigning_leaves_the_epoch_in_force(self):
+        ledger = fold(ActingClaimed(1, "h1"), ActingResigned(1))
+        self.assertEqual((ledger.epoch, ledger.acting_host), (1, ""))
+
+    def test_late_copy_of_a_launch_does_not_replace_a_later_run(self):
+        unit = Unit(JOB, 0, 0, 0)
+        first = RunsLaunched(1, (Launched(unit, 1, (("w0", 1),)),))
+        second = RunsLaunched(1, (Launched(unit, 2, (("w1", 1),)),))
+        ledger = fold(
+            WorkAccepted(make_job()), ActingClaimed(1, "h"), first, second, first
+        )
+        self.assertEqual(ledger.jobs[JOB].launched[unit].run, 2)
+
+    def test_cancelled_job_stays_cancelled(self):
+        ledger = fold(
+            WorkAccepted(make_job()),
+            ActingClaimed(1, "h"),
+            WorkCancelled(JOB),
+            TasksEnded(1, (end(0),)),
+        )
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.CANCELLED)
+
+    def test_one_end_stands_for_a_gang(self):
+        job = make_job(steps=(make_step(3, gang=True),))
+        ledger = fold(
+            WorkAccepted(job), ActingClaimed(1, "h"), TasksEnded(1, (end(2),))
+        )
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.COMPLETED)
+        self.assertIn(Unit(JOB, 0, 0, GANG), ledger.jobs[JOB].done)
+
+    def test_members_of_one_run_that_fail_together_count_once(self):
+        job = make_job(steps=(make_step(3, gang=True),), max_failures=2)
+        ends = (end(0, EndKind.FAILED), end(1, EndKind.FAILED))
+        ledger = fold(WorkAccepted(job), ActingClaimed(1, "h"), TasksEnded(1, ends))
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.PENDING)
+        ledger.fold(9, TasksEnded(1, (end(2, EndKind.FAILED, run=2),)))
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.FAILED)
+
+    def test_only_failures_count_as_attempts(self):
+        ends = tuple(
+            end(0, kind, run)
+            for run, kind in enumerate(
+                (EndKind.STOPPED, EndKind.LAPSED, EndKind.BROKEN, EndKind.ALONE), 1
+            )
+        )
+        job = make_job(max_failures=1)
+        ledger = fold(WorkAccepted(job), ActingClaimed(1, "h"), TasksEnded(1, ends))
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.PENDING)
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(st.integers(0, 7), max_size=20), st.integers(1, 3))
+    def test_copies_of_records_change_nothing(self, order, copies):
+        records = [
+            WorkAccepted(make_job(steps=(make_step(2),))),
+            ActingClaimed(1, "h1"),
+            TasksEnded(1, (end(0),)),
+            TasksEnded(1, (end(1, EndKind.FAILED),)),
+            ActingClaimed(2, "h2"),
+            TasksEnded(2, (end(1, run=2),)),
+            WorkCancelled(JOB),
+            ActingResigned(1),
+        ]
+        stream = [records[index] for index in order]
+        doubled = [record for record in stream for _ in range(copies)]
+        once, often = fold(*stream), fold(*doubled)
+        self.assertEqual(once.epoch, often.epoch)
+        for job_id, progress in once.jobs.items():
+            self.assertEqual(progress.state, often.jobs[job_id].state)
+            self.assertEqual(progress.done, often.jobs[job_id].done)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_work_roles.py
@@ -0,0 +1,84 @@
+"""When a host claims the role, and what an append's outcome means for a caller."""
+
+import unittest
+
+from knapweedshed.decisions.acceptance import (
+    AppendState,
+    Verdict,
+    after_failure,
+    log_is_down,
+    retry_after_ms,
+)
+from knapweedshed.decisions.leadership import (
+    CLAIM_AGAIN_MS,
+    SILENT_MS,
+    TERM_MS,
+    Standing,
+    may_order,
+    should_claim,
+)
+
+CALM = Standing("me", 3, "other", True, heard_ms=10_000, read_ms=10_000)
+
+
+class ClaimTest(unittest.TestCase):
+    """Good moments to claim."""
+
+    def test_no_claim_while_the_acting_host_is_heard(self):
+        self.assertFalse(should_claim(CALM, 10_500, 0))
+
+    def test_claim_after_silence_while_own_reads_work(self):
+        now_ms = 10_000 + SILENT_MS + 1
+        standing = CALM._replace(read_ms=now_ms)
+        self.assertTrue(should_claim(standing, now_ms, 0))
+        self.assertFalse(should_claim(standing, now_ms, 300))
+
+    def test_no_claim_by_a_host_that_is_cut_off(self):
+        self.assertFalse(should_claim(CALM, 10_000 + 2 * SILENT_MS, 0))
+
+    def test_claim_at_once_after_a_resignation(self):
+        self.assertTrue(should_claim(CALM._replace(acting_host=""), 10_000, 0))
+
+    def test_no_claim_before_the_stream_is_read_or_when_leaving(self):
+        free = CALM._replace(acting_host="")
+        self.assertFalse(should_claim(free._replace(caught_up=False), 10_000, 0))
+        self.assertFalse(should_claim(free._replace(leaving=True), 10_000, 0))
+
+    def test_claim_is_not_repeated_before_it_could_be_read(self):
+        free = CALM._replace(acting_host="", claimed_ms=9_900)
+        self.assertFalse(should_claim(free, 10_000, 0))
+        now_ms = 9_900 + CLAIM_AGAIN_MS
+        self.assertTrue(should_claim(free._replace(read_ms=now_ms), now_ms, 0))
+
+    def test_orders_end_with_the_term(self):
+        acting = CALM._replace(acting_host="me")
+        self.assertTrue(may_order(acting, 10_000 + TERM_MS - 1))
+        self.assertFalse(may_order(acting, 10_000 + TERM_MS))
+
+
+class AcceptanceTest(unittest.TestCase):
+    """A refusal must be true."""
+
+    def test_refused_append_refuses(self):
+        _, verdict = after_failure(AppendState(5_000), False, 1_000)
+        self.assertEqual(verdict, Verdict.REFUSE)
+
+    def test_after_a_lost_answer_nothing_is_refused(self):
+        state, verdict = after_failure(AppendState(5_000), True, 1_000)
+        self.assertEqual(verdict, Verdict.REPEAT)
+        _, verdict = after_failure(state, False, 1_500)
+        self.assertEqual(verdict, Verdict.REPEAT)
+        _, verdict = after_failure(state, False, 4_999)
+        self.assertEqual(verdict, Verdict.UNKNOWN)
+
+    def test_log_is_down_until_it_answers_or_a_while_has_passed(self):
+        self.assertTrue(log_is_down(1_000, 900, 1_100))
+        self.assertFalse(log_is_down(1_000, 1_050, 1_100))
+        self.assertFalse(log_is_down(1_000, 900, 2_000))
+
+    def test_callers_come_back_later_the_longer_the_log_is_down(self):
+        self.assertLess(retry_after_ms(1_000, 1_500), retry_after_ms(1_000, 9_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
