--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -51,6 +51,7 @@
     Preempted,
     RecordEnds,
     RecordLaunches,
+    WorkerHangs,
 )
 from knapweedshed.models.work_records import (
     WORK_STREAM,
@@ -63,6 +64,8 @@
 
 LOG_PAUSE_MS = 300  # after a refused append, before anything new is launched
 TICK_MS = 200
+PLAN_PAUSE_MS = 10  # lets what ends together be planned together
+PLAN_PAUSE_RATIO = 2  # planning takes a third of the processor at the most
 NOT_GIVEN = OrderOutcome(UNKNOWN, "no word from the log")
 
 
@@ -92,6 +95,7 @@
         self._fenced_epoch = 0
         self._over = set()
         self._planning = False
+        self._plan_pause_ms = PLAN_PAUSE_MS
 
     def on_stop(self):
         """Stop the links to workers."""
@@ -234,6 +238,9 @@
             return
         wall_ms = self._context.clock.wall_ms()
         self._do(self._dispatcher.plan(now_ms, wall_ms))
+        took_ms = self._now_ms() - now_ms
+        self._plan_pause_ms = max(PLAN_PAUSE_MS, PLAN_PAUSE_RATIO * took_ms)
+        self._context.metrics.timing("plan", took_ms)
 
     @receive.register
     def leave(self, message: Leave):
@@ -369,6 +376,8 @@
                 self._append(RunsLaunched(self._ledger.epoch, action.launches))
             elif isinstance(action, Preempted):
                 self._log_preempted(action)
+            elif isinstance(action, WorkerHangs):
+                self._log_hang(action)
             elif may_order(self._standing(), self._now_ms()):
                 self._links.order(Order(action, self._ledger.epoch))
             else:
@@ -413,6 +422,17 @@
                 },
             )
 
+    def _log_hang(self, hang):
+        self._context.metrics.count("workers.hang")
+        self._context.logger.warning(
+            "worker hangs",
+            extra={
+                "worker": hang.worker_id,
+                "still_ms": hang.still_ms,
+                "percents": list(hang.percents),
+            },
+        )
+
     def _log_preempted(self, preempted):
         self._context.metrics.count("preempted", len(preempted.units))
         self._context.logger.info(
@@ -436,7 +456,7 @@
     def _plan_soon(self):
         if not self._planning and self._dispatcher is not None:
             self._planning = True
-            self.actor_ref.tell(PlanNow())
+            self._timer.after(self._plan_pause_ms, self.actor_ref, PlanNow())
 
     def _standing(self):
         acting_host = self._ledger.acting_host
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -10,16 +10,16 @@
 from knapweedshed.decisions.fleet import (
     IN_FLIGHT,
     TO_REPEAT,
+    WHOLE_PERCENT,
     Member,
     MemberPhase,
     WorkerBelief,
     worth_recording,
 )
-from knapweedshed.decisions.planning_units import UnitPlanner
+from knapweedshed.decisions.planning_units import UnitPlanner, rack_of
 from knapweedshed.decisions.speeds import WorkerSpeeds
 from knapweedshed.decisions.units import ready_units, step_of
 from knapweedshed.models.work import (
-    GANG,
     EndKind,
     Resources,
     Unit,
@@ -39,6 +39,7 @@
     RecordLaunches,
     StartRun,
     StopRun,
+    WorkerHangs,
 )
 from knapweedshed.models.work_records import Launched
 
@@ -389,6 +390,7 @@
             if not belief.hangs(now_ms, self._patience_ms):
                 continue
             belief.leave_out(now_ms + HANG_PAUSE_MS)
+            orders.append(_hang_of(belief, now_ms))
             for key, member in list(belief.members.items()):
                 stalled_ms = now_ms - member.moved_ms
                 if member.phase != MemberPhase.RUNNING or not member.seen:
@@ -408,32 +410,51 @@
         return step.estimate_ms * member.percent / 100
 
     def _note_paces(self, belief, gone, now_ms):
-        """Learn speeds from what runs, and from what ended as done."""
+        """Learn speeds from what runs, and from what ended as done.
+
+        The members of a gang have work of their own, and wait at 100% for the others.
+        """
         for member in belief.members.values():
             if member.seen and member.phase == MemberPhase.RUNNING:
-                self._note_pace(member, member.percent, now_ms)
+                if member.percent < WHOLE_PERCENT:
+                    self._note_pace(belief, member, member.percent, now_ms)
         for item in gone:
             if item.kind == EndKind.DONE:
-                self._note_pace(item.member, 100.0, now_ms)
+                self._note_pace(belief, item.member, WHOLE_PERCENT, now_ms)
 
-    def _note_pace(self, member, percent, now_ms):
+    def _note_pace(self, belief, member, percent, now_ms):
         progress = self._ledger.jobs.get(member.task.job_id)
-        if progress is None:
+        if progress is None or belief.entry is None:
             return
         step = progress.job.steps[member.task.step]
         unit = unit_of(member.task, step)
         run = self._runs.get(unit)
         if run is None or run.run != member.run or progress.saved.get(unit):
             return
-        if unit in self._taken_up:
+        if unit in self._taken_up or self._is_far(step, run):
+            return
+        if step.gang and percent >= WHOLE_PERCENT:
             return
-        ran_ms = now_ms - run.started_ms
-        key = (unit if step.gang else member.task, member.run)
-        at = run.workers
         self._speeds.observe(
-            key, unit.job_id, at, percent, ran_ms, step.estimate_ms, now_ms
+            (member.task, member.run),
+            unit.job_id,
+            belief.worker_id,
+            percent,
+            now_ms - run.started_ms,
+            step.estimate_ms,
+            now_ms,
         )
 
+    def _is_far(self, step, run):
+        """Return whether a run is slowed by racks, or can't be told."""
+        beliefs = [self._workers.get(worker_id) for worker_id in run.workers]
+        if any(belief is None or belief.entry is None for belief in beliefs):
+            return True
+        racks = {rack_of(belief.entry.labels) for belief in beliefs}
+        if step.same_rack and len(racks) > 1:
+            return True
+        return bool(step.data_rack) and racks != {step.data_rack}
+
     def _note_ends(self, belief, ends, now_ms):
         for end in ends:
             if end.kind == EndKind.FAILED:
@@ -528,6 +549,8 @@
         return StopRun(belief.worker_id, listed.task, listed.run)
 
 
-def is_gang(unit):
-    """Return whether a unit stands for all tasks of a gang."""
-    return unit.index == GANG
+def _hang_of(belief, now_ms):
+    members = belief.members.values()
+    still_ms = min(now_ms - member.moved_ms for member in members)
+    percents = tuple(member.percent for member in members)
+    return WorkerHangs(belief.worker_id, still_ms, percents)
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -17,6 +17,7 @@
 SICK_LONGEST_MS = 16_000
 STRIKES_TO_SICK_COUNT = 2
 IN_FLIGHT = -1
+WHOLE_PERCENT = 100.0
 TO_REPEAT = -2
 
 
@@ -188,12 +189,15 @@
     def hangs(self, now_ms, patience_of):
         """Return whether all that has run here for a while stands still.
 
-        `patience_of` returns how long a member may go without a step of progress.
+        `patience_of` returns how long a member may go without a step of progress. A
+        gang's member that has done its part waits for the others, and tells nothing.
         """
         watched = [
             member
             for member in self.members.values()
-            if member.seen and member.phase == MemberPhase.RUNNING
+            if member.seen
+            and member.phase == MemberPhase.RUNNING
+            and member.percent < WHOLE_PERCENT
         ]
         return bool(watched) and all(
             self.heard_ms - member.moved_ms > patience_of(member) for member in watched
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -50,32 +50,43 @@
         views.sort(key=lambda view: self._order.key(view, now_ms))
         room = Room(workers, runs, speeds, avoided, now_ms)
         starts = []
-        victims = []
         preempted = []
+        hopeless = set()
         for view in views:
             placed = room.take_now(view)
             if placed:
                 starts.append((view.unit, placed))
             elif view.priority == URGENT_PRIORITY and not room.reserve(view):
-                chosen = choose_victims(
-                    view.step,
-                    view.count,
-                    room.sites_soon(view),
-                    _holdings(view, ledger, runs, victims, now_ms),
-                    most_cost=most_loss(view, now_ms),
-                )
-                if chosen:
-                    lost = sum(holding.cost for holding in chosen)
-                    chosen = tuple(holding.unit for holding in chosen)
-                    preempted.append(
-                        Preempted(chosen, view.unit, view.guaranteed, lost)
-                    )
-                    victims.extend(chosen)
-                    room.give_back(chosen)
-                    room.reserve(view)
+                shape = (view.step, view.count, view.guaranteed)
+                if shape in hopeless:
+                    continue
+                found = _make_room(view, room, ledger, runs, preempted, now_ms)
+                if found is None:
+                    hopeless.add(shape)
+                    continue
+                preempted.append(found)
+                room.give_back(found.units)
+                room.reserve(view)
         return UnitPlan(tuple(starts), tuple(preempted))
 
 
+def _make_room(view, room, ledger, runs, preempted, now_ms):
+    """Return whom to stop for `view`, or None where that is not to be had."""
+    stopped = {unit for item in preempted for unit in item.units}
+    chosen = choose_victims(
+        view.step,
+        view.count,
+        room.sites_soon(view),
+        _holdings(view, ledger, runs, stopped, now_ms),
+        most_cost=most_loss(view, now_ms),
+    )
+    if not chosen:
+        return None
+    lost = sum(holding.cost for holding in chosen)
+    units = tuple(holding.unit for holding in chosen)
+    return Preempted(units, view.unit, view.guaranteed, lost)
+
+
 class Room:
     """Free capacity now, and once everything that is being stopped has ended."""
 
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -5,6 +5,8 @@
 
 from knapweedshed.decisions.packing import place
 
+SPARED_TRIES_COUNT = 12  # the dearest victims are where sparing one pays
+
 
 class Holding(NamedTuple):
     """A running unit: where it holds what, and the work that a stop would lose.
@@ -49,20 +51,33 @@
         if any(worker_id in here for worker_id, _ in holding.places)
     ]
     helpful.sort(key=lambda holding: holding.cost / _accelerators(holding, here))
-    chosen = []
-    for holding in helpful:
-        if place(step, count, _freed(sites, chosen), spread):
-            break
-        chosen.append(holding)
-    if not place(step, count, _freed(sites, chosen), spread):
+
+    def fits(chosen):
+        return bool(place(step, count, _freed(sites, chosen), spread))
+
+    if not fits(helpful):
         return None
-    for holding in sorted(chosen, key=lambda item: -item.cost):
+    chosen = helpful[: _shortest_prefix(helpful, fits)]
+    dearest_first = sorted(chosen, key=lambda item: -item.cost)
+    for holding in dearest_first[:SPARED_TRIES_COUNT]:
         fewer = [item for item in chosen if item is not holding]
-        if place(step, count, _freed(sites, fewer), spread):
+        if fits(fewer):
             chosen = fewer
     return chosen
 
 
+def _shortest_prefix(helpful, fits):
+    """Return how many of the cheapest suffice; all of them do."""
+    low, high = 0, len(helpful)
+    while low < high:
+        middle = (low + high) // 2
+        if fits(helpful[:middle]):
+            high = middle
+        else:
+            low = middle + 1
+    return low
+
+
 def _accelerators(holding, here):
     """Return what a stop would free here, as a number above 0."""
     freed = [need for worker_id, need in holding.places if worker_id in here]
--- a/knapweedshed/decisions/speeds.py
+++ b/knapweedshed/decisions/speeds.py
@@ -25,10 +25,10 @@
 
 
 class Pace(NamedTuple):
-    """What one run showed: log of (pace x estimate), at one worker or several."""
+    """What one run of a task showed: the logarithm of (pace x estimate)."""
 
     job_id: str
-    worker_ids: tuple[str, ...]
+    worker_id: str
     value: float
     seen_ms: int
 
@@ -41,7 +41,7 @@
         self._anchors = {}
         self._speeds = {}
 
-    def observe(self, key, job_id, worker_ids, percent, ran_ms, estimate_ms, now_ms):
+    def observe(self, key, job_id, worker_id, percent, ran_ms, estimate_ms, now_ms):
         """Take the progress of a run; `key` names the run.
 
         A pace is taken over spans of `SPAN_MS`, so that a worker that turns slow shows.
@@ -57,7 +57,7 @@
         self._anchors[key] = (percent, now_ms)
         moved = max(percent - from_percent, LEAST_PERCENT)
         value = math.log(moved / DONE_PERCENT * estimate_ms / span_ms)
-        self._paces[key] = Pace(job_id, tuple(sorted(set(worker_ids))), value, now_ms)
+        self._paces[key] = Pace(job_id, worker_id, value, now_ms)
 
     def speed(self, worker_id):
         """Return the learned speed; 1.0 where nothing is known."""
@@ -95,15 +95,11 @@
             self._speeds[worker_id] = min(FASTEST, max(SLOWEST, math.exp(value)))
 
 
-def _slowest(pace, logs):
-    return min(pace.worker_ids, key=lambda worker_id: logs.get(worker_id, 0.0))
-
-
 def _job_factors(paces, logs):
     """Return the log of each job's common factor, shrunk towards a right estimate."""
     sums = {}
     for pace, weight in paces:
-        rest = pace.value - logs.get(_slowest(pace, logs), 0.0)
+        rest = pace.value - logs.get(pace.worker_id, 0.0)
         total, weights = sums.get(pace.job_id, (0.0, 0.0))
         sums[pace.job_id] = (total + weight * rest, weights + weight)
     shrink = (SPEED_SPREAD / ESTIMATE_SPREAD) ** 2
@@ -118,8 +114,7 @@
         for worker_id, value in prior.items()
     }
     for pace, weight in paces:
-        worker_id = _slowest(pace, logs)
         rest = pace.value - factors[pace.job_id]
-        total, weights = sums.get(worker_id, (0.0, PRIOR_WEIGHT))
-        sums[worker_id] = (total + weight * rest, weights + weight)
+        total, weights = sums.get(pace.worker_id, (0.0, PRIOR_WEIGHT))
+        sums[pace.worker_id] = (total + weight * rest, weights + weight)
     return {worker_id: total / weights for worker_id, (total, weights) in sums.items()}
--- a/knapweedshed/models/work.py
+++ b/knapweedshed/models/work.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+MANY_COPIES_COUNT = 1_000_000  # of a task that takes nothing
 GANG = -1  # index of a unit that stands for all tasks of a gang step
 
 
@@ -45,14 +46,14 @@
 
     def copies_of(self, need):
         """Return how many times `need` fits into this; 0 or more."""
-        return max(
-            0,
-            min(
-                have // wanted
-                for have, wanted in zip((*self, 1_000_000), (*need, 1), strict=True)
-                if wanted
-            ),
-        )
+        copies = MANY_COPIES_COUNT
+        if need.accelerators:
+            copies = self.accelerators // need.accelerators
+        if need.cpu_milli:
+            copies = min(copies, self.cpu_milli // need.cpu_milli)
+        if need.memory_mb:
+            copies = min(copies, self.memory_mb // need.memory_mb)
+        return max(0, copies)
 
 
 class Step(NamedTuple):
--- a/knapweedshed/models/work_orders.py
+++ b/knapweedshed/models/work_orders.py
@@ -46,6 +46,14 @@
     lost: float
 
 
+class WorkerHangs(NamedTuple):
+    """A worker on which nothing has moved for a while is left out."""
+
+    worker_id: str
+    still_ms: int
+    percents: tuple[float, ...]
+
+
 class OrderOutcome(NamedTuple):
     """What came of an order: `done`, `refused` (with a reason), or `unknown`."""
 
--- a/tests/test_work_health.py
+++ b/tests/test_work_health.py
@@ -41,6 +41,11 @@
         self._hold_for(world, 3_500)
         self.assertEqual(len(world.stopped), 1)
 
+    def test_gang_member_that_waits_for_the_others_does_not_hang(self):
+        world, _ = self._world(percent=100, checkpoints=True)
+        self._hold_for(world, 6_000)
+        self.assertEqual(world.stopped, [])
+
     def test_worker_that_hangs_gets_nothing_new(self):
         world, order = self._world(percent=90)
         self._hold_for(world, 3_000)
@@ -87,7 +92,7 @@
                 speeds.observe(
                     (job, name),
                     f"job{job}",
-                    (name,),
+                    name,
                     percent,
                     2_000,
                     int(8_000 * estimate_factor),
@@ -110,7 +115,7 @@
             for name, pace in (("a", 10), ("b", 10), ("c", 10 if step < 3 else 1)):
                 percent = 10 * min(step, 2) + pace * max(0, step - 2)
                 speeds.observe(
-                    name, "job", (name,), percent, 1_000 * step, 10_000, 1_000 * step
+                    name, "job", name, percent, 1_000 * step, 10_000, 1_000 * step
                 )
             speeds.learn(1_000 * step)
         self.assertLess(speeds.speed("c"), 0.7 * speeds.speed("a"))
--- a/tests/work_world.py
+++ b/tests/work_world.py
@@ -21,6 +21,7 @@
     RecordEnds,
     RecordLaunches,
     StartRun,
+    WorkerHangs,
 )
 from knapweedshed.models.work_records import (
     ActingClaimed,
@@ -173,7 +174,7 @@
                 changed = self.fold(TasksEnded(self.epoch, action.ends))
                 self.dispatcher.ends_read(action.ends)
                 self.do(self.dispatcher.take_fold(changed))
-            elif isinstance(action, Preempted):
+            elif isinstance(action, (Preempted, WorkerHangs)):
                 self.records.append(action)
             else:
                 self._give(action)
