Try a shape that found no place once a plan

Change: a step that found no place now is not tried again in that plan, as room only shrinks within one.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -51,12 +51,16 @@
         room = Room(workers, runs, speeds, avoided, now_ms)
         starts = []
         preempted = []
+        full = set()
         hopeless = set()
         for view in views:
-            placed = room.take_now(view)
+            likeness = (view.step, view.count, view.unit in avoided)
+            placed = () if likeness in full else room.take_now(view)
             if placed:
                 starts.append((view.unit, placed))
-            elif view.priority == URGENT_PRIORITY and not room.reserve(view):
+                continue
+            full.add(likeness)
+            if view.priority == URGENT_PRIORITY and not room.reserve(view):
                 shape = (view.step, view.count, view.guaranteed)
                 if shape in hopeless:
                     continue
