Let the lease of a worker that doesn't answer lapse; keep open jobs in the log

Since workers that the list lacks are held on, each unanswered hold asked for a later lease end, and each such end was counted, so that the lapse never came. Ruled out: launch records and preemption (the runs ended with their worker). Change: after an unanswered hold nothing is renewed before the next answer. Open jobs are written to the log again within a third of its retention, by union, so that a reader that begins late knows them and who acts; ended ones are kept up to 5,000. A reader whose place has been dropped goes on where the history begins (found by the new process test).

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -37,6 +37,7 @@
     may_order,
     should_claim,
 )
+from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.decisions.units import chain_ms
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
@@ -93,6 +94,7 @@
         self._log_pause_until_ms = 0
         self._leaving = None
         self._fenced_epoch = 0
+        self._snapshots = SnapshotSchedule(settings.log_keep_ms)
         self._over = set()
         self._planning = False
         self._plan_pause_ms = PLAN_PAUSE_MS
@@ -225,7 +227,8 @@
             return
         if now_ms - self._beat_ms >= BEAT_MS:
             self._beat_ms = now_ms
-            self._append(ActingBeat(self._ledger.epoch))
+            self._append(ActingBeat(self._ledger.epoch, self._host))
+        self._write_snapshots()
         self._do(self._dispatcher.tick(now_ms))
         self._plan_soon()
 
@@ -364,7 +367,9 @@
         self._context.metrics.count("holds.failures")
         if not self._is_held(worker_id):
             return
-        deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, self._now_ms())
+        deadline_ms, acked_upto = self._dispatcher.hold_terms(
+            worker_id, self._now_ms(), answered=False
+        )
         self._links.hold_later(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
 
     def _do(self, actions):
@@ -396,6 +401,12 @@
                 },
             )
 
+    def _write_snapshots(self):
+        epoch = self._ledger.epoch
+        wall_ms = self._context.clock.wall_ms()
+        for job_id in self._snapshots.due(self._ledger, wall_ms):
+            self._append(self._ledger.jobs[job_id].snapshot(epoch, wall_ms))
+
     def _log_over(self, changed):
         """Say once of each job how it came out, against its objective."""
         wall_ms = self._context.clock.wall_ms()
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -291,9 +291,15 @@
             actions.append(RecordLaunches(tuple(launches)))
         return actions
 
-    def hold_terms(self, worker_id, now_ms):
-        """Return (lease end on the worker's clock or 0, ends it may forget)."""
+    def hold_terms(self, worker_id, now_ms, answered=True):
+        """Return (lease end on the worker's clock or 0, ends it may forget).
+
+        After a hold without an answer nothing is renewed before the next answer:
+        otherwise a worker that is gone would seem to hold its runs for ever.
+        """
         belief = self._workers[worker_id]
+        if not answered:
+            return 0, belief.acknowledgeable
         deadline = belief.deadline_for(now_ms, self._bounds.lease_ms)
         return deadline, belief.acknowledgeable
 
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -255,7 +255,9 @@
                 chains[key],
                 work_of(step, count),
                 job.service,
-                wanted_speed(chains[key], since_ms + objective_ms - now_ms),
+                HIGHEST_SPEED
+                if job.priority == URGENT_PRIORITY
+                else wanted_speed(chains[key], since_ms + objective_ms - now_ms),
             )
         )
     return views
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -2,14 +2,17 @@
 
 from knapweedshed.models.work import GANG, EndKind, Unit, WorkState, unit_of
 from knapweedshed.models.work_records import (
+    ActingBeat,
     ActingClaimed,
     ActingResigned,
     RunsLaunched,
     TasksEnded,
     WorkAccepted,
     WorkCancelled,
+    WorkSnapshot,
 )
 
+KEPT_ENDED_COUNT = 5_000  # more than the users end in a day; bounds memory
 ACTIVE = (WorkState.PENDING, WorkState.RUNNING)
 
 
@@ -24,6 +27,7 @@
         self.failed_runs = {}
         self.saved = {}
         self.launched = {}
+        self.written_wall_ms = job.accepted_wall_ms
         self._unit_count = _unit_count(job)
 
     @property
@@ -47,19 +51,67 @@
         step = self.job.steps[task.step]
         unit = unit_of(task, step)
         if end.saved:
-            run, _ = self.saved.get(unit, (0, ""))
-            if end.run >= run:
-                self.saved[unit] = (end.run, end.saved)
-        if end.kind == EndKind.DONE and not step.lasting:
+            self._save(unit, end.run, end.saved)
+        if step.lasting:
+            return
+        if end.kind == EndKind.DONE:
             self.done.add(unit)
-            if len(self.done) == self._unit_count and self.active:
-                self.state = WorkState.COMPLETED
-        elif end.kind == EndKind.FAILED and not step.lasting:
-            runs = self.failed_runs.setdefault(unit, set())
-            runs.add(end.run)
-            if len(runs) >= self.job.max_failures and self.active:
-                if unit not in self.done:
-                    self.state = WorkState.FAILED
+        elif end.kind == EndKind.FAILED:
+            self.failed_runs.setdefault(unit, set()).add(end.run)
+        self._judge()
+
+    def launch(self, launched):
+        """Take the launch of a run; an earlier run than the last changes nothing."""
+        before = self.launched.get(launched.unit)
+        if before is None or before.run < launched.run:
+            self.launched[launched.unit] = launched
+        if self.state == WorkState.PENDING:
+            self.state = WorkState.RUNNING
+
+    def merge(self, snapshot):
+        """Take what a snapshot says beyond what is known; nothing is taken back."""
+        self.written_wall_ms = max(self.written_wall_ms, snapshot.written_wall_ms)
+        self.done.update(snapshot.done)
+        for unit, run in snapshot.failed:
+            self.failed_runs.setdefault(unit, set()).add(run)
+        for unit, run, saved in snapshot.saved:
+            self._save(unit, run, saved)
+        for launched in snapshot.launched:
+            self.launch(launched)
+        self._judge()
+
+    def snapshot(self, epoch, wall_ms):
+        """Return all of this as one record."""
+        return WorkSnapshot(
+            epoch,
+            self.job,
+            tuple(sorted(self.done)),
+            tuple(
+                (unit, run)
+                for unit, runs in self.failed_runs.items()
+                for run in sorted(runs)
+            ),
+            tuple((unit, *saved) for unit, saved in self.saved.items()),
+            tuple(self.launched.values()),
+            wall_ms,
+        )
+
+    def _save(self, unit, run, saved):
+        last_run, _ = self.saved.get(unit, (0, ""))
+        if run >= last_run:
+            self.saved[unit] = (run, saved)
+
+    def _judge(self):
+        """Say whether the job has come to its end."""
+        if not self.active:
+            return
+        if len(self.done) == self._unit_count:
+            self.state = WorkState.COMPLETED
+        elif any(
+            len(runs) >= self.job.max_failures and unit not in self.done
+            for unit, runs in self.failed_runs.items()
+        ):
+            self.state = WorkState.FAILED
 
 
 class WorkLedger:
@@ -67,6 +119,7 @@
 
     def __init__(self):
         self._jobs = {}
+        self._ended = {}
         self._epoch = 0
         self._acting_host = ""
         self._claimed_offset = -1
@@ -93,26 +146,65 @@
 
     def fold(self, offset, record):
         """Take one record; return the ids of jobs that it changed."""
+        changed = self._fold(offset, record)
+        for job_id in changed:
+            if not self._jobs[job_id].active:
+                self._remember_ended(job_id)
+        return [job_id for job_id in changed if job_id in self._jobs]
+
+    def waiting_in(self, queue):
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            progress.job.queue == queue and progress.state == WorkState.PENDING
+            for progress in self._jobs.values()
+        )
+
+    def _fold(self, offset, record):
         if isinstance(record, WorkAccepted):
             return self._accept(offset, record.job)
         if isinstance(record, WorkCancelled):
             return self._cancel(record.job_id)
-        if isinstance(record, ActingClaimed):
-            self._claim(offset, record)
-        elif isinstance(record, TasksEnded):
+        if isinstance(record, TasksEnded):
             return self._end(record)
-        elif isinstance(record, RunsLaunched):
+        if isinstance(record, RunsLaunched):
             return self._launch(record)
+        if isinstance(record, WorkSnapshot):
+            return self._take_snapshot(offset, record)
+        if isinstance(record, ActingClaimed):
+            self._claim(offset, record)
+        elif isinstance(record, ActingBeat):
+            self._beat(offset, record)
         elif isinstance(record, ActingResigned) and record.epoch == self._epoch:
             self._acting_host = ""
         return ()
 
-    def waiting_in(self, queue):
-        """Return how many accepted jobs of a queue have not begun."""
-        return sum(
-            progress.job.queue == queue and progress.state == WorkState.PENDING
-            for progress in self._jobs.values()
-        )
+    def _remember_ended(self, job_id):
+        """Keep ended jobs for their callers, but not for ever."""
+        self._ended.setdefault(job_id)
+        while len(self._ended) > KEPT_ENDED_COUNT:
+            oldest = next(iter(self._ended))
+            del self._ended[oldest]
+            self._jobs.pop(oldest, None)
+
+    def _take_snapshot(self, offset, snapshot):
+        """Take a job whose acceptance may be older than what the log still has."""
+        if snapshot.epoch < self._epoch:
+            return ()
+        job_id = snapshot.job.job_id
+        progress = self._jobs.get(job_id)
+        if progress is None:
+            progress = self._jobs[job_id] = JobProgress(snapshot.job, offset)
+        progress.merge(snapshot)
+        return (job_id,)
+
+    def _beat(self, offset, beat):
+        """Learn of an epoch whose claim is older than what the log still has.
+
+        For a reader of the whole stream a beat never names a later epoch.
+        """
+        if beat.epoch > self._epoch:
+            self._claim(offset, ActingClaimed(self._epoch + 1, beat.host))
+            self._epoch = beat.epoch
 
     def _accept(self, offset, job):
         if job.job_id in self._jobs:
@@ -152,12 +244,7 @@
             progress = self._jobs.get(launched.unit.job_id)
             if progress is None:
                 continue
-            before = progress.launched.get(launched.unit)
-            if before is not None and before.run >= launched.run:
-                continue
-            progress.launched[launched.unit] = launched
-            if progress.state == WorkState.PENDING:
-                progress.state = WorkState.RUNNING
+            progress.launch(launched)
             changed.append(launched.unit.job_id)
         return changed
 
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -141,6 +141,8 @@
         self._wait_ms = self._longest_wait_ms
         if page.records:
             self._next = page.records[-1].offset + 1
+        elif page.first_retained > self._next:
+            self._next = page.first_retained
         caught_up = len(page.records) < READ_LIMIT
         if page.end >= 0:
             caught_up = self._next >= page.end
--- a/knapweedshed/models/host.py
+++ b/knapweedshed/models/host.py
@@ -7,7 +7,8 @@
     """Addresses are `ip:port`; times in milliseconds.
 
     `lease_ms` is the longest lease that workers grant, `grace_ms` the time between
-    the wish to stop and the end, `early_ms` how early a due job may start.
+    the wish to stop and the end, `early_ms` how early a due job may start, and
+    `log_keep_ms` how long the log keeps a record.
     """
 
     name: str
@@ -17,3 +18,4 @@
     grace_ms: int
     lease_ms: int
     early_ms: int
+    log_keep_ms: int = 300_000
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -49,9 +49,25 @@
 
 
 class ActingBeat(NamedTuple):
-    """The acting scheduler of `epoch` is alive."""
+    """The acting scheduler of `epoch` is alive; tells readers that begin late of it."""
 
     epoch: int
+    host: str = ""
+
+
+class WorkSnapshot(NamedTuple):
+    """All that the log has said of an open job, for readers that begin after it.
+
+    `failed` has (unit, run) of each failed run.
+    """
+
+    epoch: int
+    job: WorkJob
+    done: tuple[Unit, ...] = ()
+    failed: tuple[tuple[Unit, int], ...] = ()
+    saved: tuple[tuple[Unit, int, str], ...] = ()
+    launched: tuple[Launched, ...] = ()
+    written_wall_ms: int = 0
 
 
 class ActingResigned(NamedTuple):
@@ -69,4 +85,5 @@
     ActingClaimed,
     ActingBeat,
     ActingResigned,
+    WorkSnapshot,
 )
--- a/knapweedshed/platform/settings.py
+++ b/knapweedshed/platform/settings.py
@@ -30,6 +30,7 @@
         grace_ms=int(_number(plain, "bounds", "grace_s") * MS_PER_SECOND),
         lease_ms=int(_number(plain, "bounds", "hold_max_ms")),
         early_ms=int(_number(plain, "bounds", "early_ms")),
+        log_keep_ms=int(_number(plain, "platform", "keep_s") * MS_PER_SECOND),
     )
     return settings, _address(plain, "platform", "addr")
 
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -33,7 +33,7 @@
     "zone": "tunis",
     "listen": {"front": "127.0.0.1:8521", "ready": "127.0.0.1:8523"},
     "bounds": {"grace_s": 6, "hold_max_ms": 6000, "early_ms": 250},
-    "platform": {"addr": "127.0.0.1:8524"},
+    "platform": {"addr": "127.0.0.1:8524", "keep_s": 300},
 }
 CONFIGURATION = {
     "version": 7,
--- a/tests/test_host_program.py
+++ b/tests/test_host_program.py
@@ -32,14 +32,14 @@
 class HostProcess:
     """One host with its settings file."""
 
-    def __init__(self, name, store, folder):
+    def __init__(self, name, store, folder, keep_s=300):
         self.front = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
         plain = {
             **SETTINGS,
             "node": name,
             "listen": {"front": self.front, "ready": self.ready},
-            "platform": {"addr": store.address},
+            "platform": {"addr": store.address, "keep_s": keep_s},
         }
         path = os.path.join(folder, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as file:
@@ -109,9 +109,9 @@
         for worker in self.workers:
             self.addCleanup(worker.close)
 
-    def host(self, name):
+    def host(self, name, keep_s=300):
         """Return a host that is ready."""
-        host = HostProcess(name, self.store, self.folder)
+        host = HostProcess(name, self.store, self.folder, keep_s)
         self.addCleanup(host.close)
         self.assertTrue(wait_until(host.is_ready, START_LIMIT_S), host.log())
         return host
@@ -180,6 +180,21 @@
         self.assertEqual(len(starts), len(set(starts)))
         self.assertEqual({run for _, run in starts}, {1})
 
+    def test_open_job_outlives_the_records_that_the_log_keeps(self):
+        for worker in self.workers:
+            worker.run_s = 4
+        first = self.host("edge-1", keep_s=1.5)
+        self.assertEqual(first.call("POST", f"/plans/{JOB}", BODY)[0], 200)
+        time.sleep(2)
+        snapshots = [b"WorkSnapshot" in r for r in self.store.topics["work"]]
+        self.assertIn(True, snapshots)
+        self.store.firsts["work"] = snapshots.index(True)
+        first.process.kill()
+        second = self.host("edge-2")
+        self.assertTrue(self.finished(second), second.log())
+        starts = [start for worker in self.workers for start in worker.starts]
+        self.assertEqual(len(starts), len(set(starts)))
+
     def test_stop_answers_callers_until_the_end_and_hands_over(self):
         first, second = self.host("edge-1"), self.host("edge-2")
         first.process.send_signal(signal.SIGTERM)
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -154,6 +154,21 @@
         self.assertEqual(len(world.started), 2)
         self.assertGreater(world.started[1].run, world.started[0].run)
 
+    def test_holds_without_answer_do_not_put_off_the_end_of_a_lease(self):
+        world = World(workers=2)
+        world.accept(make_job())
+        world.take_role()
+        lost = world.started[0].worker_id
+        world.cut.add(lost)
+        for _ in range(40):
+            deadline, _ = world.dispatcher.hold_terms(
+                lost, world.now_ms, answered=False
+            )
+            self.assertEqual(deadline, 0)
+            world.pass_time(200)
+        world.hold_all()
+        self.assertEqual(len(world.started), 2)
+
     def test_worker_that_started_anew_runs_nothing_of_before(self):
         world = World(workers=1)
         world.accept(make_job())
--- a/tests/test_work_ledger.py
+++ b/tests/test_work_ledger.py
@@ -5,9 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from knapweedshed.decisions.work_ledger import WorkLedger
+from knapweedshed.decisions.snapshots import SnapshotSchedule
+from knapweedshed.decisions.work_ledger import KEPT_ENDED_COUNT, WorkLedger
 from knapweedshed.models.work import GANG, EndKind, Task, TaskEnd, Unit, WorkState
 from knapweedshed.models.work_records import (
+    ActingBeat,
     ActingClaimed,
     ActingResigned,
     Launched,
@@ -106,6 +108,55 @@
         ledger = fold(WorkAccepted(job), ActingClaimed(1, "h"), TasksEnded(1, ends))
         self.assertEqual(ledger.jobs[JOB].state, WorkState.PENDING)
 
+    def test_reader_that_begins_late_knows_open_jobs_and_who_acts(self):
+        unit = Unit(JOB, 0, 0, 0)
+        job = make_job(steps=(make_step(2),), max_failures=2)
+        whole = fold(
+            WorkAccepted(job),
+            ActingClaimed(1, "h1"),
+            RunsLaunched(1, (Launched(unit, 4, (("w0", 1),)),)),
+            TasksEnded(1, (end(0, saved="s3"), end(1, EndKind.FAILED))),
+        )
+        snapshot = whole.jobs[JOB].snapshot(1, 7_000)
+        late = fold(ActingBeat(1, "h1"), snapshot)
+        self.assertEqual((late.epoch, late.acting_host), (1, "h1"))
+        for name in ("done", "failed_runs", "saved", "launched", "state"):
+            self.assertEqual(
+                getattr(late.jobs[JOB], name), getattr(whole.jobs[JOB], name), name
+            )
+
+    def test_snapshot_takes_nothing_back(self):
+        early = fold(WorkAccepted(make_job())).jobs[JOB].snapshot(1, 5_000)
+        ledger = fold(
+            WorkAccepted(make_job()), ActingClaimed(1, "h"), TasksEnded(1, (end(0),))
+        )
+        ledger.fold(9, early)
+        self.assertEqual(ledger.jobs[JOB].state, WorkState.COMPLETED)
+
+    def test_snapshot_of_a_replaced_epoch_is_void(self):
+        snapshot = fold(WorkAccepted(make_job())).jobs[JOB].snapshot(1, 5_000)
+        ledger = fold(ActingClaimed(1, "h1"), ActingClaimed(2, "h2"), snapshot)
+        self.assertEqual(ledger.jobs, {})
+
+    def test_open_jobs_are_written_again_well_before_they_expire(self):
+        schedule = SnapshotSchedule(keep_ms=300_000)
+        ledger = fold(WorkAccepted(make_job()), ActingClaimed(1, "h"))
+        self.assertEqual(schedule.due(ledger, 99_999), [])
+        self.assertEqual(schedule.due(ledger, 100_000), [JOB])
+        self.assertEqual(schedule.due(ledger, 100_200), [])
+        self.assertEqual(schedule.due(ledger, 105_300), [JOB])
+        ledger.fold(9, ledger.jobs[JOB].snapshot(1, 105_300))
+        self.assertEqual(schedule.due(ledger, 200_000), [])
+
+    def test_ended_jobs_are_forgotten_in_the_end(self):
+        ledger = WorkLedger()
+        for number in range(KEPT_ENDED_COUNT + 10):
+            job_id = f"{number:016x}"
+            ledger.fold(0, WorkAccepted(make_job(job_id)))
+            ledger.fold(1, WorkCancelled(job_id))
+        self.assertEqual(len(ledger.jobs), KEPT_ENDED_COUNT)
+        self.assertNotIn(f"{0:016x}", ledger.jobs)
+
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.integers(0, 7), max_size=20), st.integers(1, 3))
     def test_copies_of_records_change_nothing(self, order, copies):
