Stop what a predecessor left running of a job that has ended

Ruled out: the cancel's acknowledgement (folded by all hosts) and the worker (its holds were answered). Change: whatever a worker lists that belongs to no run in force is stopped at once. A launch at an earlier life of a worker no longer drops what later launches put there.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -152,6 +152,8 @@
         orders.extend(self._clear(belief, gone))
         for listed in strange:
             orders.append(self._stop_stray(belief, listed, now_ms))
+        for listed in lists.running:
+            orders.extend(self._stop_if_over(belief, (listed.task, listed.run)))
         return orders
 
     def take_outcome(self, order, outcome, now_ms):
@@ -305,32 +307,12 @@
 
     def _adopt_launches(self, now_ms):
         """Take up what our predecessors may have running, by their launch records."""
-        off_ms = now_ms + self._bounds.term_ms + int(self._bounds.lease_ms / 0.98)
         for progress in self._ledger.jobs.values():
             for unit, launched in progress.launched.items():
                 if unit in progress.done:
                     continue
-                step = step_of(progress.job, unit)
+                where = self._adopt_members(progress.job, launched, now_ms)
                 self._taken_up.add(unit)
-                where = {}
-                tasks = tasks_of(unit, step)
-                for task, at in zip(tasks, launched.workers, strict=True):
-                    worker_id, incarnation = at
-                    belief = self._workers.get(worker_id)
-                    if belief is None or belief.incarnation < incarnation:
-                        belief = WorkerBelief(
-                            worker_id, incarnation, off_ms, self._bounds.lease_ms
-                        )
-                        self._workers[worker_id] = belief
-                    belief.members[task, launched.run] = Member(
-                        task,
-                        launched.run,
-                        step.need,
-                        MemberPhase.RUNNING,
-                        now_ms,
-                        now_ms,
-                    )
-                    where[task] = worker_id
                 self._runs[unit] = UnitRun(
                     unit,
                     launched.run,
@@ -341,6 +323,27 @@
                     tuple(worker_id for worker_id, _ in launched.workers),
                 )
 
+    def _adopt_members(self, job, launched, now_ms):
+        """Count a launch's tasks at their workers; return {task: worker id}."""
+        off_ms = now_ms + self._bounds.term_ms + int(self._bounds.lease_ms / 0.98)
+        step = step_of(job, launched.unit)
+        where = {}
+        tasks = tasks_of(launched.unit, step)
+        for task, at in zip(tasks, launched.workers, strict=True):
+            worker_id, incarnation = at
+            belief = self._workers.get(worker_id)
+            if belief is None:
+                belief = self._workers[worker_id] = WorkerBelief(
+                    worker_id, incarnation, off_ms, self._bounds.lease_ms
+                )
+            elif belief.incarnation < incarnation:
+                belief.forget(incarnation)
+            belief.members[task, launched.run] = Member(
+                task, launched.run, step.need, MemberPhase.RUNNING, now_ms, now_ms
+            )
+            where[task] = worker_id
+        return where
+
     def _launch(self, unit, worker_ids, now_ms):
         self._taken_up.discard(unit)
         progress = self._ledger.jobs[unit.job_id]
@@ -543,6 +546,16 @@
             orders.extend(self._end_run(unit))
         return orders
 
+    def _stop_if_over(self, belief, key):
+        """Stop what a predecessor left running though its job has ended."""
+        member = belief.members.get(key)
+        if member is None or member.phase != MemberPhase.RUNNING:
+            return []
+        run = self._runs.get(self._unit_of(key[0]))
+        if run is not None and run.run == key[1] and not run.over:
+            return []
+        return self._stop_member(belief, key)
+
     def _stop_stray(self, belief, listed, now_ms):
         """Stop a run that no launch of ours or of a predecessor accounts for."""
         progress = self._ledger.jobs.get(listed.task.job_id)
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -269,6 +269,32 @@
         self.assertEqual(len(world.started), 3)
         self.assertEqual(world.stopped, [])
 
+    def test_runs_of_a_job_that_was_cancelled_meanwhile_are_stopped(self):
+        world = World()
+        world.accept(make_job(steps=(make_step(3),)))
+        world.take_role()
+        world.fold(WorkCancelled("a" * 16))
+        world.take_role()
+        self.assertEqual({order.task.index for order in world.stopped}, {0, 1, 2})
+
+    def test_launches_at_two_lives_of_a_worker_are_both_taken_up(self):
+        world = World(workers=1)
+        world.accept(make_job())
+        world.take_role()
+        world.running["w0"].clear()
+        world.entries = [make_entry(0, incarnation=2)]
+        world.accept(make_job("b" * 16))
+        world.list_workers()
+        world.hold("w0")
+        world.plan()
+        before = len(world.started)
+        world.take_role()
+        world.now_ms += 100
+        world.hold_all()
+        self.assertGreaterEqual(before, 2)
+        running = {run.task.job_id for run in world.running["w0"].values()}
+        self.assertEqual(running, {"a" * 16, "b" * 16})
+
     def test_what_may_run_on_an_unreached_worker_waits(self):
         world = World(workers=2)
         world.accept(make_job())
