--- a/knapweedshed/links/http_server.py
+++ b/knapweedshed/links/http_server.py
@@ -83,18 +83,29 @@
         self._thread.start()
 
     def close(self):
-        """Stop serving, once every response in hand has been sent."""
+        """Stop serving, once every response in hand has been sent.
+
+        Connections end first, as soon as nothing is in hand on them: a request that is
+        read while the server itself closes would never be answered.
+        """
+        self._server.accepting = False
         pause = threading.Event()
         for _ in range(CLOSE_POLLS):
-            if self._is_idle():
+            if not self._end_idle_connections():
                 break
             pause.wait(CLOSE_POLL_MS / MS_PER_SECOND)
         self._server.close()
         self._thread.join(timeout=2)
 
-    def _is_idle(self):
+    def _end_idle_connections(self):
+        """Let connections without a request in hand end; return how many are open."""
         channels = list(getattr(self._server, "active_channels", {}).values())
-        return not any(c.requests or c.total_outbufs_len for c in channels)
+        for channel in channels:
+            if not channel.requests and not channel.total_outbufs_len:
+                channel.close_when_flushed = True
+        if channels:
+            self._server.pull_trigger()
+        return len(channels)
 
     def _run(self):
         try:
--- a/knapweedshed/links/work_front.py
+++ b/knapweedshed/links/work_front.py
@@ -11,10 +11,35 @@
 
 CALL_THREADS_COUNT = 24  # a call holds one for 10 ms, and for 3 s with the log away
 READY_THREADS_COUNT = 2
+METRICS_THREADS_COUNT = 1
+METRICS_PATH = "/metrics"
 READY_LIMIT_MS = 500
 ANSWER_MARGIN_MS = 300  # for an answer to reach its caller before the deadline
 
 
+class MetricsFront:
+    """The HTTP server from which metrics are fetched."""
+
+    def __init__(self, context, address):
+        self._metrics = context.metrics
+        self._server = HttpServer(
+            (address,), self._answer, METRICS_THREADS_COUNT, context.logger
+        )
+
+    def start(self):
+        """Start serving."""
+        self._server.start()
+
+    def close(self):
+        """Stop serving."""
+        self._server.close()
+
+    def _answer(self, call):
+        if call.path != METRICS_PATH:
+            return Answer(404)
+        return Answer(200, self._metrics.text(), (), "text/plain; version=0.0.4")
+
+
 class WorkFront:
     """The HTTP server of callers, and a second one for readiness."""
 
--- a/knapweedshed/metrics.py
+++ b/knapweedshed/metrics.py
@@ -3,9 +3,12 @@
 from abc import ABC, abstractmethod
 from collections import Counter
 
+import prometheus_client
 import statsd
 
 PREFIX = "knapweedshed"
+# Upper ends in milliseconds: a tick, a store's answer, an objective, a deadline.
+BUCKETS_MS = (1, 2, 5, 10, 25, 50, 100, 250, 500, 1_000, 3_000, 10_000)
 
 
 class Metrics(ABC):
@@ -75,6 +78,50 @@
         self._client.gauge(name, value)
 
 
+class ExposedMetrics(Metrics):
+    """Hands each report to `inner`, and keeps counters and histograms to be fetched."""
+
+    def __init__(self, inner):
+        self._inner = inner
+        self._registry = prometheus_client.CollectorRegistry()
+        self._counts = prometheus_client.Counter(
+            f"{PREFIX}_events", "What was counted", ("name",), registry=self._registry
+        )
+        self._timings = prometheus_client.Histogram(
+            f"{PREFIX}_duration_ms",
+            "How long it took, in milliseconds",
+            ("name",),
+            buckets=BUCKETS_MS,
+            registry=self._registry,
+        )
+        self._gauges = prometheus_client.Gauge(
+            f"{PREFIX}_value", "What it is now", ("name",), registry=self._registry
+        )
+
+    def count(self, name, by=1):
+        """Add `by` to counter `name`."""
+        self._inner.count(name, by)
+        self._counts.labels(name).inc(by)
+
+    def timing(self, name, value_ms):
+        """Report a duration in milliseconds."""
+        self._inner.timing(name, value_ms)
+        self._timings.labels(name).observe(value_ms)
+
+    def gauge(self, name, value):
+        """Report a current value."""
+        self._inner.gauge(name, value)
+        self._gauges.labels(name).set(value)
+
+    def snapshot(self):
+        """Return what was counted since the start, for the state dump."""
+        return self._inner.snapshot()
+
+    def text(self):
+        """Return all of it in the text format of its library, as bytes."""
+        return prometheus_client.generate_latest(self._registry)
+
+
 def create_metrics(address, role):
     """Return metrics for `address` (`ip:port`), or local ones where it is empty."""
     if not address:
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -27,9 +27,9 @@
 )
 from knapweedshed.links.log import LogAppender, LogTail
 from knapweedshed.links.service import create_service_platform
-from knapweedshed.links.work_front import WorkFront
+from knapweedshed.links.work_front import MetricsFront, WorkFront
 from knapweedshed.logs import create_logger
-from knapweedshed.metrics import create_metrics
+from knapweedshed.metrics import ExposedMetrics, create_metrics
 from knapweedshed.models.work_records import WORK_STREAM
 from knapweedshed.programs.daemon import Daemon, run_daemon
 from knapweedshed.programs.dumping import collect
@@ -43,6 +43,7 @@
 
 SETTINGS = (
     Setting("platform", "text", "fleet", "platform adapter, by registry name"),
+    Setting("metrics_port", "count", 0, "port to fetch metrics from; 0: none"),
     Setting("statsd", "optional_address", "", "ip:port of statsd; empty: none"),
     Setting("log_level", "level", "info", "debug, info, warning or error"),
 )
@@ -71,6 +72,11 @@
             self._jobs,
             (settings.front, settings.ready),
         )
+        self._metrics_front = None
+        if context.settings.metrics_port:
+            address, _, _ = settings.front.rpartition(":")
+            port = context.settings.metrics_port
+            self._metrics_front = MetricsFront(context, f"{address}:{port}")
         self._links = ()
 
     def start(self):
@@ -100,6 +106,8 @@
         timer.every(TICK_MS, self._scheduling, Tick())
         timer.every(JOBS_TICK_MS, self._jobs, Tick())
         self._front.start()
+        if self._metrics_front is not None:
+            self._metrics_front.start()
 
     def close(self):
         """Leave rotation, hand the role over, answer what comes meanwhile, stop."""
@@ -114,6 +122,8 @@
             resigned.get(timeout=RESIGN_LIMIT_MS / MS_PER_SECOND)
         except pykka.Timeout:
             self._context.logger.warning("role not handed over in time")
+        if self._metrics_front is not None:
+            self._metrics_front.close()
         for ref in self._links:
             ref.stop(block=False)
         self._timer.close()
@@ -144,7 +154,7 @@
     logger = create_logger(
         program, host_settings.name, host_settings.data_centre, settings.log_level
     )
-    metrics = create_metrics(settings.statsd, program)
+    metrics = ExposedMetrics(create_metrics(settings.statsd, program))
     context = create_context(settings, logger, metrics, "")
     context = context._replace(process_id=context.new_id()[:8])
     try:
--- a/tests/test_host_program.py
+++ b/tests/test_host_program.py
@@ -35,6 +35,7 @@
     def __init__(self, name, store, folder, keep_s=300):
         self.front = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
+        self.metrics_port = free_port()
         plain = {
             **SETTINGS,
             "node": name,
@@ -46,7 +47,13 @@
             yaml.safe_dump(plain, file)
         self._log = open(os.path.join(folder, f"{name}.log"), "w+", encoding="utf-8")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "knapweedshed.programs.host"],
+            [
+                sys.executable,
+                "-m",
+                "knapweedshed.programs.host",
+                "--metrics-port",
+                str(self.metrics_port),
+            ],
             env={**os.environ, "KNAPWEEDSHED_CONFIG": path},
             stdout=self._log,
             stderr=self._log,
@@ -71,6 +78,11 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def metrics(self):
+        """Return the host's metrics as text."""
+        url = f"http://127.0.0.1:{self.metrics_port}/metrics"
+        return self._http.request("GET", url).data.decode()
+
     def log(self):
         """Return what the host wrote."""
         self._log.flush()
@@ -134,6 +146,9 @@
         ]
         self.assertEqual(starts, [(name, 1) for name in names])
         self.assertEqual(first.call("GET", "/plans/")[1], {"waiting": 0})
+        told = first.metrics()
+        self.assertIn('knapweedshed_events_total{name="calls.submit.0"} 1.0', told)
+        self.assertIn('knapweedshed_duration_ms_bucket{le="10.0",name="plan"}', told)
 
     def test_refusals_say_why(self):
         host = self.host("edge-1")
