Give an order again of which nothing was heard

Ruled out: written-off time (over at 44 s). Change: an order of which nothing was heard for 3 s is given again; a start is stopped.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -135,7 +135,7 @@
             return
         for record in ours:
             self._take_own(record)
-        self._do(self._dispatcher.take_fold(changed))
+        self._do(self._dispatcher.take_fold(changed, now_ms))
         self._log_over(changed)
         self._plan_soon()
 
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -50,6 +50,7 @@
 SLOW_SPEED_RATIO = 0.5
 HANG_PAUSE_MS = 2_500  # a worker that hangs is looked at again after this
 AVOID_MS = 3_000  # a unit that failed runs elsewhere, unless nowhere else is free
+ORDER_LOST_MS = 3_000  # a start's three tries take 1.8 s
 RECORD_AGAIN_MS = 1_500  # an end whose record isn't read back by then is written again
 NOT_STARTED = (
     REASON_OLD,
@@ -132,7 +133,7 @@
                     entry.worker_id, entry.incarnation, now_ms, self._bounds.lease_ms
                 )
                 self._workers[entry.worker_id] = belief
-            orders.extend(self._clear(belief, belief.renew(entry)))
+            orders.extend(self._clear(belief, belief.renew(entry), now_ms))
         for worker_id, belief in list(self._workers.items()):
             if worker_id not in listed:
                 belief.entry = None
@@ -149,11 +150,11 @@
         orders = []
         self._note_paces(belief, gone, now_ms)
         self._note_ends(belief, ends, now_ms)
-        orders.extend(self._clear(belief, gone))
+        orders.extend(self._clear(belief, gone, now_ms))
         for listed in strange:
             orders.append(self._stop_stray(belief, listed, now_ms))
         for listed in lists.running:
-            orders.extend(self._stop_if_over(belief, (listed.task, listed.run)))
+            orders.extend(self._stop_if_over(belief, (listed.task, listed.run), now_ms))
         return orders
 
     def take_outcome(self, order, outcome, now_ms):
@@ -180,13 +181,13 @@
             belief.strike(now_ms)
         if outcome.reason in NOT_STARTED and member.tries == 1:
             del belief.members[key]
-            return self._member_gone(order.task, order.run, None)
+            return self._member_gone(order.task, order.run, None, now_ms)
         if outcome.kind == UNKNOWN and member.tries < START_TRIES_COUNT:
             belief.members[key] = member._replace(tries=member.tries + 1)
             return [order]
-        return self._stop_member(belief, key)
+        return self._stop_member(belief, key, now_ms)
 
-    def take_fold(self, job_ids):
+    def take_fold(self, job_ids, now_ms):
         """Jobs changed in the log: stop what must not run; return orders."""
         orders = []
         for job_id in set(job_ids):
@@ -195,7 +196,7 @@
                 continue
             for unit, run in list(self._runs.items()):
                 if unit.job_id == job_id and not run.over:
-                    orders.extend(self._end_run(unit))
+                    orders.extend(self._end_run(unit, now_ms))
         return orders
 
     def ends_read(self, ends):
@@ -217,6 +218,11 @@
             if run is None or run.run != launched.run or run.launched:
                 continue
             self._runs[launched.unit] = run._replace(launched=True, started_ms=now_ms)
+            for task, worker_id in run.where.items():
+                members = self._workers[worker_id].members
+                members[task, run.run] = members[task, run.run]._replace(
+                    ordered_ms=now_ms
+                )
             if run.over:
                 self._unplace(launched.unit)
             else:
@@ -238,11 +244,9 @@
             self._speeds.learn(now_ms)
             actions.extend(self._stop_hanging(now_ms))
         for belief in list(self._workers.values()):
-            actions.extend(self._clear(belief, belief.lapse(now_ms)))
+            actions.extend(self._clear(belief, belief.lapse(now_ms), now_ms))
             for key, member in list(belief.members.items()):
-                if member.settled_ms == TO_REPEAT:
-                    belief.members[key] = member._replace(settled_ms=IN_FLIGHT)
-                    actions.append(StopRun(belief.worker_id, *key))
+                actions.extend(self._give_again(belief, key, member, now_ms))
         again = [
             end
             for key, end in self._unrecorded.items()
@@ -287,7 +291,7 @@
         for preempted in plan.preempted:
             actions.append(preempted)
             for unit in preempted.units:
-                actions.extend(self._end_run(unit))
+                actions.extend(self._end_run(unit, now_ms))
         launches = [self._launch(unit, at, now_ms) for unit, at in plan.starts]
         if launches:
             actions.append(RecordLaunches(tuple(launches)))
@@ -405,7 +409,7 @@
                 if member.phase != MemberPhase.RUNNING or not member.seen:
                     continue
                 if self._lost_ms(member) <= stalled_ms:
-                    orders.extend(self._stop_member(belief, key))
+                    orders.extend(self._stop_member(belief, key, now_ms))
         return orders
 
     def _lost_ms(self, member):
@@ -418,6 +422,23 @@
             return 0
         return step.estimate_ms * member.percent / 100
 
+    def _give_again(self, belief, key, member, now_ms):
+        """Repeat a stop; stop a start of which nothing was heard for too long.
+
+        Orders in hand are lost with the link to a worker that the list drops.
+        """
+        lost = (
+            member.settled_ms == IN_FLIGHT
+            and member.ordered_ms
+            and now_ms - member.ordered_ms > ORDER_LOST_MS
+        )
+        if member.settled_ms != TO_REPEAT and not lost:
+            return []
+        if member.phase == MemberPhase.STARTING:
+            return self._stop_member(belief, key, now_ms)
+        belief.members[key] = member._replace(settled_ms=IN_FLIGHT, ordered_ms=now_ms)
+        return [StopRun(belief.worker_id, *key)]
+
     def _note_paces(self, belief, gone, now_ms):
         """Learn speeds from what runs, and from what ended as done.
 
@@ -494,17 +515,17 @@
         progress = self._ledger.jobs[task.job_id]
         return unit_of(task, progress.job.steps[task.step])
 
-    def _clear(self, belief, gone):
+    def _clear(self, belief, gone, now_ms):
         orders = []
         for item in gone:
             orders.extend(
-                self._member_gone(item.member.task, item.member.run, item.kind)
+                self._member_gone(item.member.task, item.member.run, item.kind, now_ms)
             )
         if belief.entry is None and not belief.members:
             self._workers.pop(belief.worker_id, None)
         return orders
 
-    def _member_gone(self, task, number, kind):
+    def _member_gone(self, task, number, kind, now_ms):
         """A run's member is not there any more; what is left of a gang must go."""
         if task.job_id not in self._ledger.jobs:
             return []
@@ -518,9 +539,9 @@
             return []
         if kind == EndKind.DONE or run.over:
             return []
-        return self._end_run(unit)
+        return self._end_run(unit, now_ms)
 
-    def _end_run(self, unit):
+    def _end_run(self, unit, now_ms):
         """Stop what there is of a unit's run."""
         run = self._runs[unit]
         self._runs[unit] = run._replace(over=True)
@@ -529,24 +550,24 @@
         orders = []
         for task, worker_id in run.where.items():
             belief = self._workers[worker_id]
-            orders.extend(self._stop_member(belief, (task, run.run)))
+            orders.extend(self._stop_member(belief, (task, run.run), now_ms))
         return orders
 
-    def _stop_member(self, belief, key):
+    def _stop_member(self, belief, key, now_ms):
         member = belief.members.get(key)
         if member is None or member.phase == MemberPhase.STOPPING:
             return []
         belief.members[key] = member._replace(
-            phase=MemberPhase.STOPPING, settled_ms=IN_FLIGHT
+            phase=MemberPhase.STOPPING, settled_ms=IN_FLIGHT, ordered_ms=now_ms
         )
         orders = [StopRun(belief.worker_id, *key)]
         unit = self._unit_of(key[0])
         run = self._runs.get(unit)
         if run is not None and run.run == key[1] and not run.over:
-            orders.extend(self._end_run(unit))
+            orders.extend(self._end_run(unit, now_ms))
         return orders
 
-    def _stop_if_over(self, belief, key):
+    def _stop_if_over(self, belief, key, now_ms):
         """Stop what a predecessor left running though its job has ended."""
         member = belief.members.get(key)
         if member is None or member.phase != MemberPhase.RUNNING:
@@ -554,7 +575,7 @@
         run = self._runs.get(self._unit_of(key[0]))
         if run is not None and run.run == key[1] and not run.over:
             return []
-        return self._stop_member(belief, key)
+        return self._stop_member(belief, key, now_ms)
 
     def _stop_stray(self, belief, listed, now_ms):
         """Stop a run that no launch of ours or of a predecessor accounts for."""
@@ -563,7 +584,13 @@
         if progress is not None and listed.task.step < len(progress.job.steps):
             need = progress.job.steps[listed.task.step].need
         belief.members[listed.task, listed.run] = Member(
-            listed.task, listed.run, need, MemberPhase.STOPPING, IN_FLIGHT, now_ms
+            listed.task,
+            listed.run,
+            need,
+            MemberPhase.STOPPING,
+            IN_FLIGHT,
+            now_ms,
+            ordered_ms=now_ms,
         )
         return StopRun(belief.worker_id, listed.task, listed.run)
 
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -35,7 +35,8 @@
     `settled_ms` is when the last order for it was answered; a list asked for after
     that shows whether the run is there. `IN_FLIGHT` and `TO_REPEAT` stand for an order
     that has no answer yet, and one that must be given again. `tries` counts starts;
-    `moved_ms` is when `percent` was last seen to rise.
+    `moved_ms` is when `percent` was last seen to rise, `ordered_ms` when the last order
+    was decided.
     """
 
     task: Task
@@ -49,6 +50,7 @@
     seen: bool = False
     tries: int = 1
     moved_ms: int = 0
+    ordered_ms: int = 0
 
 
 class Gone(NamedTuple):
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -169,6 +169,31 @@
         world.hold_all()
         self.assertEqual(len(world.started), 2)
 
+    def test_order_that_was_never_given_is_given_again(self):
+        world = World(workers=1)
+        world.accept(make_job())
+        world.take_role()
+        real, world._give = world._give, lambda order: None
+        world.do(
+            world.dispatcher.take_fold(
+                world.fold(WorkCancelled("a" * 16)), world.now_ms
+            )
+        )
+        world._give = real
+        world.pass_time(3_500)
+        self.assertEqual(len(world.stopped), 1)
+
+    def test_start_that_was_never_given_frees_its_place(self):
+        world = World(workers=1)
+        world.accept(make_job(steps=(make_step(1, WHOLE),)))
+        real, world._give = world._give, lambda order: None
+        world.take_role()
+        world._give = real
+        for _ in range(50):
+            world.pass_time(100)
+            world.hold_all()
+        self.assertEqual([order.run for order in world.started], [2])
+
     def test_worker_that_started_anew_runs_nothing_of_before(self):
         world = World(workers=1)
         world.accept(make_job())
@@ -201,7 +226,11 @@
         world = World()
         world.accept(make_job())
         world.take_role()
-        world.do(world.dispatcher.take_fold(world.fold(WorkCancelled("a" * 16))))
+        world.do(
+            world.dispatcher.take_fold(
+                world.fold(WorkCancelled("a" * 16)), world.now_ms
+            )
+        )
         self.assertEqual(len(world.stopped), 1)
         world.hold_all()
         world.pass_time(200)
--- a/tests/work_world.py
+++ b/tests/work_world.py
@@ -173,7 +173,7 @@
                 self.records.append(action)
                 changed = self.fold(TasksEnded(self.epoch, action.ends))
                 self.dispatcher.ends_read(action.ends)
-                self.do(self.dispatcher.take_fold(changed))
+                self.do(self.dispatcher.take_fold(changed, self.now_ms))
             elif isinstance(action, (Preempted, WorkerHangs)):
                 self.records.append(action)
             else:
