Split the dispatcher by what each part knows

Cause: dispatch.py had grown to 602 lines with several jobs. Change: taking up launches, hanging workers, paces, records of ends and the run of a unit are modules of their own; behaviour is the same.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -27,7 +27,7 @@
     WorkersListed,
 )
 from knapweedshed.controllers.work_stream import decode_records
-from knapweedshed.decisions.dispatch import Bounds, Dispatcher
+from knapweedshed.decisions.dispatch import Dispatcher
 from knapweedshed.decisions.leadership import (
     BEAT_MS,
     JITTER_MS,
@@ -38,6 +38,7 @@
     should_claim,
 )
 from knapweedshed.decisions.snapshots import SnapshotSchedule
+from knapweedshed.decisions.unit_runs import Bounds
 from knapweedshed.decisions.units import chain_ms
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -5,24 +5,25 @@
 under our epoch, so that a successor knows where everything may be.
 """
 
-from typing import NamedTuple
-
+from knapweedshed.decisions.end_records import EndRecords
 from knapweedshed.decisions.fleet import (
     IN_FLIGHT,
     TO_REPEAT,
-    WHOLE_PERCENT,
     Member,
     MemberPhase,
     WorkerBelief,
     worth_recording,
 )
-from knapweedshed.decisions.planning_units import UnitPlanner, rack_of
+from knapweedshed.decisions.hangs import HANG_PAUSE_MS, hanging
+from knapweedshed.decisions.paces import PaceNotes
+from knapweedshed.decisions.planning_units import UnitPlanner
 from knapweedshed.decisions.speeds import WorkerSpeeds
+from knapweedshed.decisions.takeover import take_up_launches
+from knapweedshed.decisions.unit_runs import UnitRun
 from knapweedshed.decisions.units import ready_units, step_of
 from knapweedshed.models.work import (
     EndKind,
     Resources,
-    Unit,
     tasks_of,
     unit_of,
 )
@@ -35,23 +36,16 @@
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
     UNKNOWN,
-    RecordEnds,
     RecordLaunches,
     StartRun,
     StopRun,
-    WorkerHangs,
 )
 from knapweedshed.models.work_records import Launched
 
 START_TRIES_COUNT = 3  # within the time that a gang waits for its members
 LEARN_MS = 500  # between two workings out of speeds
-STALL_MS = 1_800  # nearly two lists without progress
-STALL_PERCENTS = 3  # and the time of some steps of progress on a slow worker
-SLOW_SPEED_RATIO = 0.5
-HANG_PAUSE_MS = 2_500  # a worker that hangs is looked at again after this
 AVOID_MS = 3_000  # a unit that failed runs elsewhere, unless nowhere else is free
 ORDER_LOST_MS = 3_000  # a start's three tries take 1.8 s
-RECORD_AGAIN_MS = 1_500  # an end whose record isn't read back by then is written again
 NOT_STARTED = (
     REASON_OLD,
     REASON_LATE,
@@ -63,30 +57,6 @@
 SICK_REASONS = (REASON_UNHEALTHY, REASON_UNREACHABLE)
 
 
-class Bounds(NamedTuple):
-    """Time limits of the workers' platform, in milliseconds."""
-
-    lease_ms: int = 6_000
-    term_ms: int = 10_000
-    early_ms: int = 250
-
-
-class UnitRun(NamedTuple):
-    """A unit that is somewhere; `where` maps its tasks to worker ids.
-
-    `workers` are those it was launched at. `over` says that the run has failed or was
-    stopped, and only has to clear.
-    """
-
-    unit: Unit
-    run: int
-    where: dict
-    over: bool
-    started_ms: int
-    launched: bool
-    workers: tuple[str, ...] = ()
-
-
 class Dispatcher:
     """State of one term as acting scheduler, from a claim to the next."""
 
@@ -95,16 +65,14 @@
         self._bounds = bounds
         self._planner = UnitPlanner(order)
         self._workers = {}
-        self._runs = {}
-        self._unrecorded = {}
-        self._record_sent_ms = {}
+        self._runs = take_up_launches(ledger, self._workers, bounds, now_ms)
+        self._end_records = EndRecords()
         self._configuration = None
         self._listed = False
         self._speeds = WorkerSpeeds()
-        self._taken_up = set()
         self._avoided = {}
+        self._paces = PaceNotes(ledger, self._workers, self._runs, self._speeds)
         self._learned_ms = now_ms
-        self._adopt_launches(now_ms)
 
     @property
     def workers(self):
@@ -148,7 +116,7 @@
             return []
         gone, ends, strange = belief.take_lists(lists, sent_ms, now_ms)
         orders = []
-        self._note_paces(belief, gone, now_ms)
+        self._paces.note(belief, gone, now_ms)
         self._note_ends(belief, ends, now_ms)
         orders.extend(self._clear(belief, gone, now_ms))
         for listed in strange:
@@ -202,12 +170,10 @@
     def ends_read(self, ends):
         """Ends stand in the log under our epoch."""
         for end in ends:
-            key = (end.task, end.run)
-            self._unrecorded.pop(key, None)
-            self._record_sent_ms.pop(key, None)
+            self._end_records.read_back(end)
             for belief in self._workers.values():
                 listed = belief.unrecorded.get(end.number)
-                if listed and (listed.task, listed.run) == key:
+                if listed and (listed.task, listed.run) == (end.task, end.run):
                     del belief.unrecorded[end.number]
 
     def launches_read(self, launches, now_ms):
@@ -242,37 +208,27 @@
         if now_ms - self._learned_ms >= LEARN_MS:
             self._learned_ms = now_ms
             self._speeds.learn(now_ms)
-            actions.extend(self._stop_hanging(now_ms))
+            actions.extend(self._leave_hanging(now_ms))
         for belief in list(self._workers.values()):
             actions.extend(self._clear(belief, belief.lapse(now_ms), now_ms))
             for key, member in list(belief.members.items()):
                 actions.extend(self._give_again(belief, key, member, now_ms))
-        again = [
-            end
-            for key, end in self._unrecorded.items()
-            if now_ms - self._record_sent_ms.get(key, 0) > RECORD_AGAIN_MS
-        ]
-        if again:
-            actions.append(self._record(again, now_ms))
+        actions.extend(self._end_records.overdue(now_ms))
         return actions
 
     def pending_records(self, now_ms):
         """Return a record of the ends that were not sent to the log yet, or none."""
-        fresh = [
-            end
-            for key, end in self._unrecorded.items()
-            if key not in self._record_sent_ms
-        ]
-        return [self._record(fresh, now_ms)] if fresh else []
+        return self._end_records.fresh(now_ms)
 
     def plan(self, now_ms, wall_ms):
         """Return stops, and the launches to record."""
         if self._configuration is None or not self._listed:
             return []
+        held_back = {self._unit_of(task) for task in self._end_records.tasks()}
         waiting = [
             unit
             for unit in ready_units(self._ledger, wall_ms + self._bounds.early_ms // 2)
-            if unit not in self._runs and not self._has_unrecorded(unit)
+            if unit not in self._runs and unit not in held_back
         ]
         if not waiting:
             return []
@@ -309,47 +265,7 @@
         deadline = belief.deadline_for(now_ms, self._bounds.lease_ms)
         return deadline, belief.acknowledgeable
 
-    def _adopt_launches(self, now_ms):
-        """Take up what our predecessors may have running, by their launch records."""
-        for progress in self._ledger.jobs.values():
-            for unit, launched in progress.launched.items():
-                if unit in progress.done:
-                    continue
-                where = self._adopt_members(progress.job, launched, now_ms)
-                self._taken_up.add(unit)
-                self._runs[unit] = UnitRun(
-                    unit,
-                    launched.run,
-                    where,
-                    not progress.active,
-                    now_ms,
-                    True,
-                    tuple(worker_id for worker_id, _ in launched.workers),
-                )
-
-    def _adopt_members(self, job, launched, now_ms):
-        """Count a launch's tasks at their workers; return {task: worker id}."""
-        off_ms = now_ms + self._bounds.term_ms + int(self._bounds.lease_ms / 0.98)
-        step = step_of(job, launched.unit)
-        where = {}
-        tasks = tasks_of(launched.unit, step)
-        for task, at in zip(tasks, launched.workers, strict=True):
-            worker_id, incarnation = at
-            belief = self._workers.get(worker_id)
-            if belief is None:
-                belief = self._workers[worker_id] = WorkerBelief(
-                    worker_id, incarnation, off_ms, self._bounds.lease_ms
-                )
-            elif belief.incarnation < incarnation:
-                belief.forget(incarnation)
-            belief.members[task, launched.run] = Member(
-                task, launched.run, step.need, MemberPhase.RUNNING, now_ms, now_ms
-            )
-            where[task] = worker_id
-        return where
-
     def _launch(self, unit, worker_ids, now_ms):
-        self._taken_up.discard(unit)
         progress = self._ledger.jobs[unit.job_id]
         step = step_of(progress.job, unit)
         before = progress.launched.get(unit)
@@ -388,39 +304,15 @@
         for task, worker_id in run.where.items():
             self._workers[worker_id].members.pop((task, run.run), None)
 
-    def _patience_ms(self, member):
-        """Return how long a member may go without progress unsuspected."""
-        progress = self._ledger.jobs.get(member.task.job_id)
-        if progress is None:
-            return STALL_MS
-        estimate_ms = progress.job.steps[member.task.step].estimate_ms
-        return STALL_MS + STALL_PERCENTS * estimate_ms / 100 / SLOW_SPEED_RATIO
-
-    def _stop_hanging(self, now_ms):
-        """Leave out workers that hang; move what loses less than it has waited."""
-        orders = []
-        for belief in self._workers.values():
-            if not belief.hangs(now_ms, self._patience_ms):
-                continue
+    def _leave_hanging(self, now_ms):
+        """Leave out workers that hang, and stop what should move from them."""
+        actions = []
+        for belief, described, movable in hanging(self._ledger, self._workers, now_ms):
             belief.leave_out(now_ms + HANG_PAUSE_MS)
-            orders.append(_hang_of(belief, now_ms))
-            for key, member in list(belief.members.items()):
-                stalled_ms = now_ms - member.moved_ms
-                if member.phase != MemberPhase.RUNNING or not member.seen:
-                    continue
-                if self._lost_ms(member) <= stalled_ms:
-                    orders.extend(self._stop_member(belief, key, now_ms))
-        return orders
-
-    def _lost_ms(self, member):
-        """Return the work that a stop of a member's run would lose."""
-        progress = self._ledger.jobs.get(member.task.job_id)
-        if progress is None:
-            return 0
-        step = progress.job.steps[member.task.step]
-        if step.checkpoints:
-            return 0
-        return step.estimate_ms * member.percent / 100
+            actions.append(described)
+            for key in movable:
+                actions.extend(self._stop_member(belief, key, now_ms))
+        return actions
 
     def _give_again(self, belief, key, member, now_ms):
         """Repeat a stop; stop a start of which nothing was heard for too long.
@@ -439,52 +331,6 @@
         belief.members[key] = member._replace(settled_ms=IN_FLIGHT, ordered_ms=now_ms)
         return [StopRun(belief.worker_id, *key)]
 
-    def _note_paces(self, belief, gone, now_ms):
-        """Learn speeds from what runs, and from what ended as done.
-
-        The members of a gang have work of their own, and wait at 100% for the others.
-        """
-        for member in belief.members.values():
-            if member.seen and member.phase == MemberPhase.RUNNING:
-                if member.percent < WHOLE_PERCENT:
-                    self._note_pace(belief, member, member.percent, now_ms)
-        for item in gone:
-            if item.kind == EndKind.DONE:
-                self._note_pace(belief, item.member, WHOLE_PERCENT, now_ms)
-
-    def _note_pace(self, belief, member, percent, now_ms):
-        progress = self._ledger.jobs.get(member.task.job_id)
-        if progress is None or belief.entry is None:
-            return
-        step = progress.job.steps[member.task.step]
-        unit = unit_of(member.task, step)
-        run = self._runs.get(unit)
-        if run is None or run.run != member.run or progress.saved.get(unit):
-            return
-        if unit in self._taken_up or self._is_far(step, run):
-            return
-        if step.gang and percent >= WHOLE_PERCENT:
-            return
-        self._speeds.observe(
-            (member.task, member.run),
-            unit.job_id,
-            belief.worker_id,
-            percent,
-            now_ms - run.started_ms,
-            step.estimate_ms,
-            now_ms,
-        )
-
-    def _is_far(self, step, run):
-        """Return whether a run is slowed by racks, or can't be told."""
-        beliefs = [self._workers.get(worker_id) for worker_id in run.workers]
-        if any(belief is None or belief.entry is None for belief in beliefs):
-            return True
-        racks = {rack_of(belief.entry.labels) for belief in beliefs}
-        if step.same_rack and len(racks) > 1:
-            return True
-        return bool(step.data_rack) and racks != {step.data_rack}
-
     def _note_ends(self, belief, ends, now_ms):
         for end in ends:
             if end.kind == EndKind.FAILED:
@@ -495,7 +341,7 @@
             known = end.task.job_id in self._ledger.jobs
             if known and worth_recording(end):
                 belief.unrecorded[end.number] = end
-                self._unrecorded[end.task, end.run] = end
+                self._end_records.add(end)
 
     def _avoid(self, task, worker_id, now_ms):
         """Run a unit elsewhere next, so that a sick worker fails it once only."""
@@ -503,14 +349,6 @@
             until = self._avoided.setdefault(self._unit_of(task), {})
             until[worker_id] = now_ms + AVOID_MS
 
-    def _record(self, ends, now_ms):
-        for end in ends:
-            self._record_sent_ms[end.task, end.run] = now_ms
-        return RecordEnds(tuple(ends))
-
-    def _has_unrecorded(self, unit):
-        return any(self._unit_of(task) == unit for task, _ in self._unrecorded)
-
     def _unit_of(self, task):
         progress = self._ledger.jobs[task.job_id]
         return unit_of(task, progress.job.steps[task.step])
@@ -593,10 +431,3 @@
             ordered_ms=now_ms,
         )
         return StopRun(belief.worker_id, listed.task, listed.run)
-
-
-def _hang_of(belief, now_ms):
-    members = belief.members.values()
-    still_ms = min(now_ms - member.moved_ms for member in members)
-    percents = tuple(member.percent for member in members)
-    return WorkerHangs(belief.worker_id, still_ms, percents)
--- a/tests/work_world.py
+++ b/tests/work_world.py
@@ -1,6 +1,7 @@
 """Builders and a small world of workers for tests of whole jobs; no network."""
 
-from knapweedshed.decisions.dispatch import Bounds, Dispatcher
+from knapweedshed.decisions.dispatch import Dispatcher
+from knapweedshed.decisions.unit_runs import Bounds
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
 from knapweedshed.models.service import Owner, ServiceConfiguration
