--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -9,6 +9,7 @@
 from knapweedshed.actors import tell
 from knapweedshed.codecs import text
 from knapweedshed.controllers.base import Controller
+from knapweedshed.controllers.decision_log import DecisionLog
 from knapweedshed.controllers.messages import (
     AppendDone,
     AppendFailed,
@@ -39,7 +40,6 @@
 )
 from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.decisions.unit_runs import Bounds
-from knapweedshed.decisions.units import chain_ms
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
 from knapweedshed.links.platform import FAILURES
@@ -96,7 +96,7 @@
         self._leaving = None
         self._fenced_epoch = 0
         self._snapshots = SnapshotSchedule(settings.log_keep_ms)
-        self._over = set()
+        self._log = DecisionLog(context)
         self._planning = False
         self._plan_pause_ms = PLAN_PAUSE_MS
 
@@ -137,7 +137,7 @@
         for record in ours:
             self._take_own(record)
         self._do(self._dispatcher.take_fold(changed, now_ms))
-        self._log_over(changed)
+        self._log.over(self._ledger, changed)
         self._plan_soon()
 
     @receive.register
@@ -181,18 +181,7 @@
             return
         order, outcome = message.order, message.outcome
         if outcome.kind != DONE:
-            self._context.logger.info(
-                "order not done",
-                extra={
-                    "job": order.task.job_id,
-                    "task": list(order.task[1:]),
-                    "run": order.run,
-                    "order": type(order).__name__,
-                    "worker": order.worker_id,
-                    "outcome": outcome.kind,
-                    "reason": outcome.reason,
-                },
-            )
+            self._log.order_not_done(order, outcome)
         self._do(self._dispatcher.take_outcome(order, outcome, self._now_ms()))
         self._plan_soon()
 
@@ -378,85 +367,24 @@
             if isinstance(action, RecordEnds):
                 self._append(TasksEnded(self._ledger.epoch, action.ends))
             elif isinstance(action, RecordLaunches):
-                self._log_launches(action.launches)
+                self._log.launches(action.launches)
                 self._append(RunsLaunched(self._ledger.epoch, action.launches))
             elif isinstance(action, Preempted):
-                self._log_preempted(action)
+                self._log.preempted(action)
             elif isinstance(action, WorkerHangs):
-                self._log_hang(action)
+                self._log.hang(action)
             elif may_order(self._standing(), self._now_ms()):
                 self._links.order(Order(action, self._ledger.epoch))
             else:
                 late = OrderAnswered(action, self._ledger.epoch, NOT_GIVEN)
                 self._timer.after(LOG_PAUSE_MS, self.actor_ref, late)
 
-    def _log_launches(self, launches):
-        for launched in launches:
-            self._context.logger.info(
-                "launch",
-                extra={
-                    "job": launched.unit.job_id,
-                    "unit": list(launched.unit[1:]),
-                    "run": launched.run,
-                    "workers": [worker_id for worker_id, _ in launched.workers],
-                },
-            )
-
     def _write_snapshots(self):
         epoch = self._ledger.epoch
         wall_ms = self._context.clock.wall_ms()
         for job_id in self._snapshots.due(self._ledger, wall_ms):
             self._append(self._ledger.jobs[job_id].snapshot(epoch, wall_ms))
 
-    def _log_over(self, changed):
-        """Say once of each job how it came out, against its objective."""
-        wall_ms = self._context.clock.wall_ms()
-        for job_id in set(changed) - self._over:
-            progress = self._ledger.jobs.get(job_id)
-            if progress is None or progress.active:
-                continue
-            self._over.add(job_id)
-            job = progress.job
-            estimate_ms = chain_ms(job)
-            self._context.logger.info(
-                "job over",
-                extra={
-                    "job": job_id,
-                    "state": str(progress.state),
-                    "organisation": job.organisation,
-                    "priority": job.priority,
-                    "took_ms": wall_ms - job.accepted_wall_ms,
-                    "estimate_ms": estimate_ms,
-                    "objective_ms": int(
-                        job.objective_factor * estimate_ms + job.objective_ms
-                    ),
-                    "runs": sum(item.run for item in progress.launched.values()),
-                },
-            )
-
-    def _log_hang(self, hang):
-        self._context.metrics.count("workers.hang")
-        self._context.logger.warning(
-            "worker hangs",
-            extra={
-                "worker": hang.worker_id,
-                "still_ms": hang.still_ms,
-                "percents": list(hang.percents),
-            },
-        )
-
-    def _log_preempted(self, preempted):
-        self._context.metrics.count("preempted", len(preempted.units))
-        self._context.logger.info(
-            "preempted",
-            extra={
-                "job": preempted.wanted_by.job_id,
-                "units": [list(unit) for unit in preempted.units],
-                "guaranteed": preempted.guaranteed,
-                "lost_core_s": round(preempted.lost),
-            },
-        )
-
     def _append(self, record):
         record_id = self._context.new_id()
         self._appends[record_id] = record
