Don't call cancelled work unknown while our own free has no answer

Also, a task that ended by itself just before the free ('finished', 'failed') was not counted as known. Change: a report says nothing of a lease while its free is in flight; finished and failed are known states. Figures: the two pure tests fail before and pass after.

--- a/knapweedshed/controllers/attempts.py
+++ b/knapweedshed/controllers/attempts.py
@@ -188,7 +188,11 @@
                 self._happen(job_id, events.LeaseSeen(index, seen[lease_id]))
             elif incarnation_of(lease_id) != report.incarnation:
                 self._happen(job_id, events.LeaseGone(index, "the worker restarted"))
-            elif message.sent_ms > self._granted_ms.get(lease_id, message.sent_ms):
+            elif rules.missing_is_gone(
+                self._granted_ms.get(lease_id, message.sent_ms),
+                message.sent_ms,
+                (lease_id, "free") in self._in_flight,
+            ):
                 self._happen(job_id, events.LeaseGone(index, "the lease lapsed"))
 
     @receive.register
--- a/knapweedshed/decisions/attempts.py
+++ b/knapweedshed/decisions/attempts.py
@@ -60,6 +60,16 @@
     return _clearing(attempt)
 
 
+def missing_is_gone(granted_ms, report_sent_ms, free_in_flight):
+    """Return whether a report that lacks a lease says that the lease has lapsed.
+
+    Not if it was asked for before the grant; nor while our own free of the lease has
+    no answer: the free takes the lease off the report, and its answer says what the
+    task's state was, which a lapse would leave unknown.
+    """
+    return report_sent_ms > granted_ms and not free_in_flight
+
+
 def step(attempt, event):
     """Return (attempt, actions) after an event."""
     if attempt.phase == Phase.ENDED:
--- a/knapweedshed/decisions/endings.py
+++ b/knapweedshed/decisions/endings.py
@@ -9,7 +9,13 @@
 from knapweedshed.results import ResultCode
 
 MOST_FAILED_ATTEMPTS = 3
-KNOWN_STATES = (*NEVER_STATES, LeaseState.RUNNING.value, LeaseState.STOPPED.value)
+KNOWN_STATES = (
+    *NEVER_STATES,
+    LeaseState.RUNNING.value,
+    LeaseState.STOPPED.value,
+    LeaseState.FINISHED.value,
+    LeaseState.FAILED.value,
+)
 
 
 class Verdict(NamedTuple):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -199,6 +199,11 @@
         self.assertEqual(run.ended.outcome, Outcome.STOPPED)
         self.assertEqual([m.token for m in run.attempt.members], ["7", "7"])
 
+    def test_report_made_while_a_free_is_in_flight_proves_no_lapse(self):
+        self.assertTrue(rules.missing_is_gone(1_000, 1_200, False))
+        self.assertFalse(rules.missing_is_gone(1_000, 1_200, True))
+        self.assertFalse(rules.missing_is_gone(1_000, 900, False))
+
     @settings(max_examples=400, deadline=None, derandomize=True)
     @given(
         st.integers(1, 3),
--- a/tests/test_folds.py
+++ b/tests/test_folds.py
@@ -231,6 +231,12 @@
         verdict = judge(OpenJob(job()), self.attempt(Outcome.LOST, "gone"), 0)
         self.assertEqual(verdict.code, ResultCode.OUTCOME_UNKNOWN)
 
+    def test_cancelled_job_that_ended_meanwhile_is_known_to_have_run(self):
+        opened = OpenJob(job(), cancelled=True)
+        for state in ("finished", "failed", "running"):
+            verdict = judge(opened, self.attempt(Outcome.LOST, state), 0)
+            self.assertEqual(verdict.code, ResultCode.STOPPED, state)
+
     def test_a_worker_that_says_it_stopped_it_settles_the_outcome(self):
         verdict = judge(OpenJob(job()), self.attempt(Outcome.LOST, "running"), 0)
         self.assertEqual(verdict.code, ResultCode.STOPPED)
