--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -335,8 +335,8 @@
         if not may_order(self._standing(), now_ms):
             self._links.hold_later(worker_id, self._ledger.epoch, 0, 0)
             return
-        deadline_ms, acked_upto = self._dispatcher.hold_terms(worker_id, now_ms)
-        self._links.hold(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
+        deadline_ms, ends_upto = self._dispatcher.hold_terms(worker_id, now_ms)
+        self._links.hold(worker_id, self._ledger.epoch, deadline_ms, ends_upto)
 
     def _is_held(self, worker_id):
         """Return whether to go on holding a worker; drop its links otherwise.
@@ -357,10 +357,10 @@
         self._context.metrics.count("holds.failures")
         if not self._is_held(worker_id):
             return
-        deadline_ms, acked_upto = self._dispatcher.hold_terms(
+        deadline_ms, ends_upto = self._dispatcher.hold_terms(
             worker_id, self._now_ms(), answered=False
         )
-        self._links.hold_later(worker_id, self._ledger.epoch, deadline_ms, acked_upto)
+        self._links.hold_later(worker_id, self._ledger.epoch, deadline_ms, ends_upto)
 
     def _do(self, actions):
         for action in actions:
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -45,7 +45,7 @@
 
     fence: int
     deadline_ms: int
-    acked_upto: int
+    ends_upto: int
     wait_ms: int
 
 
--- a/knapweedshed/links/worker_links.py
+++ b/knapweedshed/links/worker_links.py
@@ -45,15 +45,15 @@
             if ref is not None:
                 ref.stop(block=False)
 
-    def hold(self, worker_id, fence, deadline_ms, acked_upto):
+    def hold(self, worker_id, fence, deadline_ms, ends_upto):
         """Hold a worker now; without a known clock, only ask for its lists."""
         wait_ms = HOLD_WAIT_MS if deadline_ms else 0
-        message = Hold(fence, deadline_ms, acked_upto, wait_ms)
+        message = Hold(fence, deadline_ms, ends_upto, wait_ms)
         tell(self._hold_of(worker_id), message)
 
-    def hold_later(self, worker_id, fence, deadline_ms, acked_upto):
+    def hold_later(self, worker_id, fence, deadline_ms, ends_upto):
         """Hold a worker again after a pause, for an answer at once."""
-        message = Hold(fence, deadline_ms, acked_upto, 0)
+        message = Hold(fence, deadline_ms, ends_upto, 0)
         self._timer.after(HOLD_RETRY_MS, self._hold_of(worker_id), message)
 
     def order(self, message):
--- a/knapweedshed/links/worker_orders.py
+++ b/knapweedshed/links/worker_orders.py
@@ -12,19 +12,26 @@
 from knapweedshed.models.work_orders import StartRun
 
 
-class HoldLink(Actor):
-    """Holds a worker: raises the fence, renews its leases, waits for ends."""
+class WorkerLink(Actor):
+    """Owns one connection to a worker."""
 
-    def __init__(self, context, calls, worker_id, receiver):
+    def __init__(self, context, calls, receiver):
         super().__init__(context)
         self._calls = calls
-        self._worker_id = worker_id
         self._receiver = receiver
 
     def on_stop(self):
         """Close the connection."""
         self._calls.close()
 
+
+class HoldLink(WorkerLink):
+    """Holds a worker: raises the fence, renews its leases, waits for ends."""
+
+    def __init__(self, context, calls, worker_id, receiver):
+        super().__init__(context, calls, receiver)
+        self._worker_id = worker_id
+
     @singledispatchmethod
     def receive(self, message):
         """Handle a message by its type."""
@@ -35,7 +42,7 @@
         """Hold once, and tell what came of it."""
         sent_ms = self._context.clock.now_ms()
         answer = self._calls.hold(
-            message.fence, message.deadline_ms, message.acked_upto, message.wait_ms
+            message.fence, message.deadline_ms, message.ends_upto, message.wait_ms
         )
         tell(
             self._receiver,
@@ -43,18 +50,9 @@
         )
 
 
-class OrderLink(Actor):
+class OrderLink(WorkerLink):
     """Gives a worker its orders, one after the other."""
 
-    def __init__(self, context, calls, receiver):
-        super().__init__(context)
-        self._calls = calls
-        self._receiver = receiver
-
-    def on_stop(self):
-        """Close the connection."""
-        self._calls.close()
-
     @singledispatchmethod
     def receive(self, message):
         """Handle a message by its type."""
