Remove what nothing calls

Cause: read again as a newcomer: WorkerBelief.lapse_ms, WorkerSpeeds.known and adopt, and Room._placed had no caller; the epoch of a term was set outside the constructor. Change: removed, and set there; behaviour is the same.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -94,6 +94,7 @@
         self._beat_ms = 0
         self._log_pause_until_ms = 0
         self._leaving = None
+        self._term_epoch = 0
         self._fenced_epoch = 0
         self._snapshots = SnapshotSchedule(settings.log_keep_ms)
         self._log = DecisionLog(context)
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -88,11 +88,6 @@
             return min(self.unrecorded) - 1
         return self.seen_upto
 
-    @property
-    def lapse_ms(self):
-        """Return when everything there has lapsed if nothing is renewed from now."""
-        return self._lapse_ms
-
     def free(self):
         """Return the capacity that no member takes."""
         left = self.entry.capacity
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -106,7 +106,6 @@
         }
         self._now = {}
         self._soon = {}
-        self._placed = {}
         for worker_id, belief in self._workers.items():
             free = belief.free()
             self._now[worker_id] = free
--- a/knapweedshed/decisions/speeds.py
+++ b/knapweedshed/decisions/speeds.py
@@ -63,14 +63,6 @@
         """Return the learned speed; 1.0 where nothing is known."""
         return self._speeds.get(worker_id, 1.0)
 
-    def known(self):
-        """Return learned speeds by worker."""
-        return dict(self._speeds)
-
-    def adopt(self, speeds):
-        """Begin with what a predecessor has learned."""
-        self._speeds.update(speeds)
-
     def learn(self, now_ms):
         """Work the speeds out anew."""
         paces = [
