Run a gang that is wider than every rack over several

Cause: a gang that wants one rack was only ever placed in one, so one that no rack could hold never started. One rack is a wish on the platform, which costs time. Change: the plan asks whether any rack, empty, would hold the gang, by the workers that are listed and not leaving; if none would, it spreads, also when others give way to it. Ruled out: spreading whenever no rack is free now, since a wait is shorter than work that takes three times as long.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from knapweedshed.decisions.fleet import MemberPhase
-from knapweedshed.decisions.packing import Site, place
+from knapweedshed.decisions.packing import Site, copies_at, place
 from knapweedshed.decisions.preemption import Holding, choose_victims
 from knapweedshed.decisions.units import chain_left_ms, chain_ms, step_of
 from knapweedshed.decisions.work_order import LATE_FACTOR, WaitingUnit, work_of
@@ -82,7 +82,8 @@
         view.count,
         room.sites_soon(view),
         _holdings(view, ledger, runs, stopped, now_ms),
-        most_cost=most_loss(view, now_ms),
+        room.spreads(view),
+        most_loss(view, now_ms),
     )
     if not chosen:
         return None
@@ -99,6 +100,11 @@
         self._now_ms = now_ms
         self._runs = runs
         self._speeds = speeds
+        self._listed = [
+            belief
+            for belief in workers.values()
+            if belief.entry is not None and not belief.entry.draining
+        ]
         self._workers = {
             worker_id: belief
             for worker_id, belief in workers.items()
@@ -114,11 +120,38 @@
                     free = free.plus(member.need)
             self._soon[worker_id] = free
         self._residents = _residents(self._workers)
+        self._spreads = {}
+
+    def spreads(self, view):
+        """Return whether a gang that wants one rack is wider than every rack.
+
+        One rack is a wish that saves time: a gang that no rack could hold even when
+        empty runs over several. Workers that are left out for a while count here.
+        """
+        step = view.step
+        if not (step.gang and step.same_rack):
+            return False
+        key = (view.service, step)
+        if key not in self._spreads:
+            self._spreads[key] = not self._some_rack_holds(view)
+        return self._spreads[key]
+
+    def _some_rack_holds(self, view):
+        copies = {}
+        for belief in self._listed:
+            if belief.entry.service != view.service:
+                continue
+            site = Site("", "", belief.entry.labels, belief.entry.capacity)
+            rack = rack_of(belief.entry.labels)
+            copies[rack] = copies.get(rack, 0) + copies_at(site, view.step)
+        return any(count >= view.count for count in copies.values())
 
     def take_now(self, view):
         """Take places that are free now and not reserved; return worker ids or ()."""
         sites = self._sites(view, self._both)
-        chosen = place(view.step, view.count, sites, wanted_speed=view.wanted_speed)
+        chosen = place(
+            view.step, view.count, sites, self.spreads(view), view.wanted_speed
+        )
         if chosen:
             self._subtract(view, chosen, now=True)
         return chosen
@@ -129,7 +162,8 @@
             view.step,
             view.count,
             self.sites_soon(view),
-            wanted_speed=view.wanted_speed,
+            self.spreads(view),
+            view.wanted_speed,
         )
         if chosen:
             self._subtract(view, chosen, now=False)
