Plan by steps, not by units; read the list of workers only where it is used

Cause: the acting host's processor time at 176 workers. Each plan made a view and a list of sites for every waiting unit, walked through ended jobs, and tried victims by placing everything again. And every host read the list of workers each 300 ms, of which only the acting one has use; a slow store let those ticks pile up. Change: units of a step are looked at together (waiting.py, room.py); the ledger keeps open jobs and what is ready in each; victims are counted in and out of the sites that they touch. The list is followed by the acting host, which begins a term with a fresh one.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -20,11 +20,13 @@
 )
 from knapweedshed.controllers.work_messages import (
     ConfigurationInForce,
+    FollowWorkers,
     HoldAnswered,
     Leave,
     Order,
     OrderAnswered,
     PlanNow,
+    UseWorkerFeed,
     WorkersListed,
 )
 from knapweedshed.controllers.work_stream import decode_records
@@ -82,7 +84,7 @@
         self._host = f"{settings.name}/{context.process_id}"
         self._ledger = WorkLedger()
         self._configuration = ServiceConfiguration()
-        self._entries = ()
+        self._worker_feed = None
         self._dispatcher = None
         self._links = WorkerLinks(context, timer, platform, self.actor_ref)
         self._appends = {}
@@ -146,13 +148,21 @@
         """Nothing new is known of the role; its age decides."""
         self._context.metrics.count("work_stream.failures")
 
+    @receive.register
+    def use_worker_feed(self, message: UseWorkerFeed):
+        """Name the link that reads the platform's list."""
+        self._worker_feed = message.feed
+
     @receive.register
     def workers(self, message: WorkersListed):
         """Take the platform's list."""
-        self._entries = message.entries
-        if self._dispatcher is not None:
-            self._take_entries()
-            self._plan_soon()
+        if self._dispatcher is None:
+            return
+        now_ms = self._now_ms()
+        self._do(self._dispatcher.list_workers(message.entries, now_ms))
+        for worker_id in self._links.match(self._dispatcher.workers):
+            self._hold(worker_id)
+        self._plan_soon()
 
     @receive.register
     def hold_answered(self, message: HoldAnswered):
@@ -301,13 +311,11 @@
             extra={
                 "epoch": self._ledger.epoch,
                 "taken_up": len(self._dispatcher.runs),
-                "workers": len(self._entries),
             },
         )
         if self._configuration.version >= 0:
             self._dispatcher.configure(self._configuration)
-        if self._entries:
-            self._take_entries()
+        tell(self._worker_feed, FollowWorkers(True))
 
     def _end_term(self, reason):
         self._context.logger.info(
@@ -316,6 +324,7 @@
         self._dispatcher = None
         self._appends = {}
         self._links.close()
+        tell(self._worker_feed, FollowWorkers(False))
         if self._leaving is not None:
             self._leaving.set(True)
 
@@ -324,11 +333,6 @@
         self._fenced_epoch = self._ledger.epoch
         self._end_term("a worker has seen a higher fence")
 
-    def _take_entries(self):
-        self._do(self._dispatcher.list_workers(self._entries, self._now_ms()))
-        for worker_id in self._links.match(self._dispatcher.workers):
-            self._hold(worker_id)
-
     def _hold(self, worker_id):
         if not self._is_held(worker_id):
             return
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -40,6 +40,18 @@
     entries: tuple[WorkerEntry, ...]
 
 
+class FollowWorkers(NamedTuple):
+    """Whether to read the platform's list: only the acting scheduler needs it."""
+
+    following: bool
+
+
+class UseWorkerFeed(NamedTuple):
+    """The link that reads the platform's list for the scheduler."""
+
+    feed: Any
+
+
 class Hold(NamedTuple):
     """Ask a worker for its lists, and renew its leases."""
 
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -16,7 +16,7 @@
 )
 from knapweedshed.decisions.hangs import HANG_PAUSE_MS, hanging
 from knapweedshed.decisions.paces import PaceNotes
-from knapweedshed.decisions.planning_units import UnitPlanner
+from knapweedshed.decisions.planning_units import Situation, UnitPlanner
 from knapweedshed.decisions.speeds import WorkerSpeeds
 from knapweedshed.decisions.takeover import take_up_launches
 from knapweedshed.decisions.unit_runs import UnitRun
@@ -91,6 +91,7 @@
     def list_workers(self, entries, now_ms):
         """Take the platform's whole list; return orders."""
         self._listed = True
+        self._planner.list_workers(entries)
         listed = set()
         orders = []
         for entry in entries:
@@ -233,15 +234,17 @@
         if not waiting:
             return []
         plan = self._planner.plan(
-            waiting,
-            self._ledger,
-            self._workers,
-            self._runs,
-            self._configuration,
-            self._speeds,
-            self._avoided,
-            now_ms,
-            wall_ms,
+            Situation(
+                waiting,
+                self._ledger,
+                self._workers,
+                self._runs,
+                self._configuration,
+                self._speeds,
+                self._avoided,
+                now_ms,
+                wall_ms,
+            )
         )
         actions = []
         for preempted in plan.preempted:
--- a/knapweedshed/decisions/fleet.py
+++ b/knapweedshed/decisions/fleet.py
@@ -90,10 +90,15 @@
 
     def free(self):
         """Return the capacity that no member takes."""
-        left = self.entry.capacity
-        for member in self.members.values():
-            left = left.minus(member.need)
-        return left
+        return self.entry.capacity.minus(total(self.members.values()))
+
+    def being_stopped(self):
+        """Return the capacity of the members that are being stopped."""
+        return total(
+            member
+            for member in self.members.values()
+            if member.phase == MemberPhase.STOPPING
+        )
 
     def usable(self, now_ms):
         """Return whether new work may be placed here."""
@@ -247,6 +252,16 @@
         return gone
 
 
+def total(members):
+    """Return what members need together."""
+    cpu_milli = memory_mb = accelerators = 0
+    for member in members:
+        cpu_milli += member.need.cpu_milli
+        memory_mb += member.need.memory_mb
+        accelerators += member.need.accelerators
+    return Resources(cpu_milli, memory_mb, accelerators)
+
+
 def worth_recording(end: TaskEnd):
     """Return whether an end changes what the log says of its job."""
     return bool(end.saved) or end.kind in (EndKind.DONE, EndKind.FAILED)
--- a/knapweedshed/decisions/paces.py
+++ b/knapweedshed/decisions/paces.py
@@ -1,7 +1,7 @@
 """Reads speeds out of the progress that workers list."""
 
 from knapweedshed.decisions.fleet import WHOLE_PERCENT, MemberPhase
-from knapweedshed.decisions.planning_units import rack_of
+from knapweedshed.decisions.room import rack_of
 from knapweedshed.models.work import EndKind, unit_of
 
 
--- a/knapweedshed/decisions/packing.py
+++ b/knapweedshed/decisions/packing.py
@@ -47,6 +47,15 @@
     return _fill(count, room)
 
 
+def place_some(step, most, sites, wanted_speed=0.0):
+    """Return the worker ids of as many single tasks as fit, `most` at the most."""
+    room = [(copies_at(site, step), site) for site in sites]
+    room = [pair for pair in room if pair[0]]
+    room.sort(key=lambda pair: _best_first(step, pair, wanted_speed))
+    count = min(most, sum(copies for copies, _ in room))
+    return _fill(count, room)
+
+
 def _in_one_rack(step, count, room, wanted_speed):
     racks = {}
     for copies, site in room:
@@ -82,6 +91,8 @@
 
 
 def _fill(count, room):
+    if not count:
+        return ()
     chosen = []
     for copies, site in room:
         taken = min(copies, count - len(chosen))
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -3,9 +3,11 @@
 import math
 from typing import NamedTuple
 
-from knapweedshed.decisions.packing import place
+from knapweedshed.decisions.packing import copies_at
+from knapweedshed.models.work import Resources
 
 SPARED_TRIES_COUNT = 12  # the dearest victims are where sparing one pays
+LEAST_SIZE = 0.001  # of what takes nothing, in accelerators: keeps costs finite
 
 
 class Holding(NamedTuple):
@@ -32,9 +34,10 @@
         for site in sites:
             racks.setdefault(site.rack, []).append(site)
         groups = list(racks.values())
+    at_worker = _by_worker(holdings)
     best = None
     for group in groups:
-        chosen = _victims_in(step, count, group, holdings, spread)
+        chosen = _victims_in(step, count, group, at_worker)
         if chosen is None:
             continue
         cost = sum(holding.cost for holding in chosen)
@@ -43,56 +46,73 @@
     return None if best is None else best[1]
 
 
-def _victims_in(step, count, sites, holdings, spread):
-    here = {site.worker_id for site in sites}
-    helpful = [
-        holding
-        for holding in holdings
-        if any(worker_id in here for worker_id, _ in holding.places)
-    ]
-    helpful.sort(key=lambda holding: holding.cost / _accelerators(holding, here))
-
-    def fits(chosen):
-        return bool(place(step, count, _freed(sites, chosen), spread))
-
-    if not fits(helpful):
+def _victims_in(step, count, sites, at_worker):
+    clearing = _Clearing(step, sites)
+    helpful = {
+        holding.unit: holding
+        for site in sites
+        for holding in at_worker.get(site.worker_id, ())
+    }
+    cheapest_first = sorted(helpful.values(), key=clearing.cost_of_place)
+    chosen = {}
+    for holding in cheapest_first:
+        if clearing.copies >= count:
+            break
+        clearing.stop(holding)
+        chosen[holding.unit] = holding
+    if clearing.copies < count:
         return None
-    chosen = helpful[: _shortest_prefix(helpful, fits)]
-    dearest_first = sorted(chosen, key=lambda item: -item.cost)
+    dearest_first = sorted(chosen.values(), key=lambda item: -item.cost)
     for holding in dearest_first[:SPARED_TRIES_COUNT]:
-        fewer = [item for item in chosen if item is not holding]
-        if fits(fewer):
-            chosen = fewer
-    return chosen
-
-
-def _shortest_prefix(helpful, fits):
-    """Return how many of the cheapest suffice; all of them do."""
-    low, high = 0, len(helpful)
-    while low < high:
-        middle = (low + high) // 2
-        if fits(helpful[:middle]):
-            high = middle
+        clearing.spare(holding)
+        if clearing.copies >= count:
+            del chosen[holding.unit]
         else:
-            low = middle + 1
-    return low
+            clearing.stop(holding)
+    return list(chosen.values())
 
 
-def _accelerators(holding, here):
-    """Return what a stop would free here, as a number above 0."""
-    freed = [need for worker_id, need in holding.places if worker_id in here]
-    return sum(need.accelerators + need.cpu_milli / 8_000 for need in freed) or 0.001
+class _Clearing:
+    """Sites, and how many tasks of a step fit there, as units are stopped."""
 
+    def __init__(self, step, sites):
+        self._step = step
+        self._sites = {site.worker_id: site for site in sites}
+        self._copies = {site.worker_id: copies_at(site, step) for site in sites}
+        self.copies = sum(self._copies.values())
 
-def _freed(sites, holdings):
-    extra = {}
-    for holding in holdings:
+    def cost_of_place(self, holding):
+        """Return the cost of a stop for what it frees here."""
+        size = sum(
+            need.accelerators + need.cpu_milli / 8_000
+            for worker_id, need in holding.places
+            if worker_id in self._sites
+        )
+        return holding.cost / (size or LEAST_SIZE)
+
+    def stop(self, holding):
+        """Count what a unit holds as free."""
+        self._change(holding, Resources.plus)
+
+    def spare(self, holding):
+        """Count what a unit holds as taken again."""
+        self._change(holding, Resources.minus)
+
+    def _change(self, holding, changed):
         for worker_id, need in holding.places:
-            extra.setdefault(worker_id, []).append(need)
-    freed = []
-    for site in sites:
-        free = site.free
-        for need in extra.get(site.worker_id, ()):
-            free = free.plus(need)
-        freed.append(site._replace(free=free))
-    return freed
+            site = self._sites.get(worker_id)
+            if site is None:
+                continue
+            site = site._replace(free=changed(site.free, need))
+            self._sites[worker_id] = site
+            copies = copies_at(site, self._step)
+            self.copies += copies - self._copies[worker_id]
+            self._copies[worker_id] = copies
+
+
+def _by_worker(holdings):
+    found = {}
+    for holding in holdings:
+        for worker_id in {worker_id for worker_id, _ in holding.places}:
+            found.setdefault(worker_id, []).append(holding)
+    return found
--- a/knapweedshed/decisions/snapshots.py
+++ b/knapweedshed/decisions/snapshots.py
@@ -25,9 +25,8 @@
         }
         due = [
             job_id
-            for job_id, progress in ledger.jobs.items()
-            if progress.active
-            and wall_ms - progress.written_wall_ms >= self._period_ms
+            for job_id, progress in ledger.open_jobs.items()
+            if wall_ms - progress.written_wall_ms >= self._period_ms
             and job_id not in self._sent_ms
         ][:BATCH_COUNT]
         for job_id in due:
--- a/knapweedshed/decisions/units.py
+++ b/knapweedshed/decisions/units.py
@@ -1,28 +1,17 @@
 """Which units of which jobs may start now."""
 
-from knapweedshed.models.work import GANG, Unit
-
 
 def step_of(job, unit):
     """Return the step that a unit belongs to."""
     return job.steps[unit.step]
 
 
-def units_in(job_id, occurrence, number, step):
-    """Return the units of one step of one occurrence."""
-    if step.gang:
-        return (Unit(job_id, occurrence, number, GANG),)
-    return tuple(Unit(job_id, occurrence, number, index) for index in range(step.count))
-
-
 def ready_units(ledger, wall_ms):
     """Return all units that are due, not done, and whose earlier steps are done."""
     ready = []
-    for progress in ledger.jobs.values():
-        if not progress.active:
-            continue
+    for progress in ledger.open_jobs.values():
         for occurrence in due_occurrences(progress.job, wall_ms):
-            ready.extend(_ready_in(progress, occurrence))
+            ready.extend(progress.ready(occurrence))
     return ready
 
 
@@ -38,18 +27,6 @@
     return range(min(job.repeats, since_ms // job.period_ms + 1))
 
 
-def _ready_in(progress, occurrence):
-    job = progress.job
-    ready = []
-    for number, step in enumerate(job.steps):
-        if not all(progress.step_done(occurrence, before) for before in step.after):
-            continue
-        for unit in units_in(job.job_id, occurrence, number, step):
-            if unit not in progress.done:
-                ready.append(unit)
-    return ready
-
-
 def chain_ms(job):
     """Return the estimated work on the longest chain of a job's steps."""
     return _longest_chain(job, lambda number, step: step.estimate_ms)
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -1,6 +1,13 @@
 """The fold over the work stream: the same in every reader, entry or scheduler."""
 
-from knapweedshed.models.work import GANG, EndKind, Unit, WorkState, unit_of
+from knapweedshed.models.work import (
+    GANG,
+    EndKind,
+    Unit,
+    WorkState,
+    unit_of,
+    units_in,
+)
 from knapweedshed.models.work_records import (
     ActingBeat,
     ActingClaimed,
@@ -29,6 +36,7 @@
         self.launched = {}
         self.written_wall_ms = job.accepted_wall_ms
         self._unit_count = _unit_count(job)
+        self._ready = {}
 
     @property
     def active(self):
@@ -43,6 +51,18 @@
             return Unit(*head, GANG) in self.done
         return all(Unit(*head, index) in self.done for index in range(step.count))
 
+    def ready(self, occurrence):
+        """Return the units of an occurrence that aren't done and wait for nothing."""
+        if occurrence not in self._ready:
+            self._ready[occurrence] = tuple(
+                unit
+                for number, step in enumerate(self.job.steps)
+                if all(self.step_done(occurrence, before) for before in step.after)
+                for unit in units_in(self.job.job_id, occurrence, number, step)
+                if unit not in self.done
+            )
+        return self._ready[occurrence]
+
     def take(self, end):
         """Count one end of a run; later copies change nothing."""
         task = end.task
@@ -56,6 +76,7 @@
             return
         if end.kind == EndKind.DONE:
             self.done.add(unit)
+            self._ready = {}
         elif end.kind == EndKind.FAILED:
             self.failed_runs.setdefault(unit, set()).add(end.run)
         self._judge()
@@ -72,6 +93,7 @@
         """Take what a snapshot says beyond what is known; nothing is taken back."""
         self.written_wall_ms = max(self.written_wall_ms, snapshot.written_wall_ms)
         self.done.update(snapshot.done)
+        self._ready = {}
         for unit, run in snapshot.failed:
             self.failed_runs.setdefault(unit, set()).add(run)
         for unit, run, saved in snapshot.saved:
@@ -119,6 +141,7 @@
 
     def __init__(self):
         self._jobs = {}
+        self._open = {}
         self._ended = {}
         self._epoch = 0
         self._acting_host = ""
@@ -129,6 +152,11 @@
         """Return `JobProgress` by job id."""
         return self._jobs
 
+    @property
+    def open_jobs(self):
+        """Return `JobProgress` by job id of jobs that have something to run."""
+        return self._open
+
     @property
     def epoch(self):
         """Return the epoch of the last claim that counts; 0: none yet."""
@@ -148,7 +176,10 @@
         """Take one record; return the ids of jobs that it changed."""
         changed = self._fold(offset, record)
         for job_id in changed:
-            if not self._jobs[job_id].active:
+            if self._jobs[job_id].active:
+                self._open[job_id] = self._jobs[job_id]
+            else:
+                self._open.pop(job_id, None)
                 self._remember_ended(job_id)
         return [job_id for job_id in changed if job_id in self._jobs]
 
@@ -156,7 +187,7 @@
         """Return how many accepted jobs of a queue have not begun."""
         return sum(
             progress.job.queue == queue and progress.state == WorkState.PENDING
-            for progress in self._jobs.values()
+            for progress in self._open.values()
         )
 
     def _fold(self, offset, record):
--- a/knapweedshed/decisions/work_order.py
+++ b/knapweedshed/decisions/work_order.py
@@ -8,14 +8,15 @@
 MILLI = 1_000
 
 
-class WaitingUnit(NamedTuple):
-    """A unit that may start now.
+class WaitingStep(NamedTuple):
+    """The units of one step that may start now; they are alike.
 
-    `chain_ms` is the work left on the job's longest chain, at the speed of a sound
+    `count` is the number of a unit's tasks; `chain_ms` is the work
+    left on the longest chain of the job, at the speed of a sound
     worker; `work` is the unit's size in core-seconds.
     """
 
-    unit: object
+    units: tuple
     step: object
     count: int
     priority: int
--- a/knapweedshed/links/feeds.py
+++ b/knapweedshed/links/feeds.py
@@ -4,7 +4,11 @@
 
 from knapweedshed.actors import Actor, tell
 from knapweedshed.controllers.messages import Tick
-from knapweedshed.controllers.work_messages import ConfigurationInForce, WorkersListed
+from knapweedshed.controllers.work_messages import (
+    ConfigurationInForce,
+    FollowWorkers,
+    WorkersListed,
+)
 from knapweedshed.links.platform import FAILURES
 
 CONFIGURATION_WAIT_MS = 1_000  # a silent connection is noticed soon after
@@ -63,12 +67,15 @@
 
 
 class WorkerFeedLink(Actor):
-    """Reads the list of workers on each tick."""
+    """Reads the list of workers again and again while it is asked to follow it."""
 
-    def __init__(self, context, feed, receiver):
+    def __init__(self, context, feed, timer, receiver):
         super().__init__(context)
         self._feed = feed
+        self._timer = timer
         self._receiver = receiver
+        self._following = False
+        self._reading = False
 
     def on_stop(self):
         """Close the connection."""
@@ -79,11 +86,23 @@
         """Handle a message by its type."""
         super().receive(message)
 
+    @receive.register
+    def follow(self, message: FollowWorkers):
+        """Begin to follow, or leave off after the read in hand."""
+        self._following = message.following
+        if self._following and not self._reading:
+            self._reading = True
+            self.actor_ref.tell(Tick())
+
     @receive.register
     def tick(self, message: Tick):
-        """Read the list once."""
+        """Read the list once, and again after a while."""
+        if not self._following:
+            self._reading = False
+            return
         entries = self._feed.read()
         if isinstance(entries, FAILURES):
             self._context.metrics.count("worker_list.failures")
-            return
-        tell(self._receiver, WorkersListed(entries))
+        else:
+            tell(self._receiver, WorkersListed(entries))
+        self._timer.after(WORKERS_PERIOD_MS, self.actor_ref, Tick())
--- a/knapweedshed/models/work.py
+++ b/knapweedshed/models/work.py
@@ -195,3 +195,10 @@
     if unit.index != GANG:
         return (Task(*head, unit.index),)
     return tuple(Task(*head, index) for index in range(step.count))
+
+
+def units_in(job_id, occurrence, number, step):
+    """Return the units of one step of one occurrence."""
+    if step.gang:
+        return (Unit(job_id, occurrence, number, GANG),)
+    return tuple(Unit(job_id, occurrence, number, index) for index in range(step.count))
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -18,13 +18,9 @@
 from knapweedshed.controllers.jobs import JobsController
 from knapweedshed.controllers.messages import Tick
 from knapweedshed.controllers.scheduling import TICK_MS, SchedulingController
-from knapweedshed.controllers.work_messages import Leave, UseCalls
+from knapweedshed.controllers.work_messages import Leave, UseCalls, UseWorkerFeed
 from knapweedshed.links.fanout import Fanout
-from knapweedshed.links.feeds import (
-    WORKERS_PERIOD_MS,
-    ConfigurationFeedLink,
-    WorkerFeedLink,
-)
+from knapweedshed.links.feeds import ConfigurationFeedLink, WorkerFeedLink
 from knapweedshed.links.log import LogAppender, LogTail
 from knapweedshed.links.service import create_service_platform
 from knapweedshed.links.work_front import MetricsFront, WorkFront
@@ -99,10 +95,10 @@
             (self._calls, self._jobs, self._scheduling),
         )
         workers = WorkerFeedLink.start(
-            context, platform.worker_feed(), self._scheduling
+            context, platform.worker_feed(), timer, self._scheduling
         )
+        tell(self._scheduling, UseWorkerFeed(workers))
         self._links = (tail, configuration, workers, fanout)
-        timer.every(WORKERS_PERIOD_MS, workers, Tick())
         timer.every(TICK_MS, self._scheduling, Tick())
         timer.every(JOBS_TICK_MS, self._jobs, Tick())
         self._front.start()
