Pause reads of the log where nobody waits for them; read when a caller asks

Change: a host that doesn't act pauses 400 ms after a page with records. A call for the state of an open or unknown job, or a cancel of one, makes it read at once, and waits for that 150 ms at the most; so a job that another host accepted a moment ago is known, where before it was said to be unknown while the read was on its way. The acting host and claims don't pause. Ruled out: longer pauses for all (launches wait for their reading back).

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -11,6 +11,7 @@
     AppendFailed,
     AppendRecord,
     LogUnreadable,
+    ReadNow,
     RecordsRead,
     Tick,
 )
@@ -20,6 +21,7 @@
     ConfigurationInForce,
     ReadyAsked,
     UseCalls,
+    UseTail,
 )
 from knapweedshed.controllers.work_stream import decode_records
 from knapweedshed.decisions.acceptance import (
@@ -40,6 +42,7 @@
 
 FRESH_MS = 2_500  # half a second less than a job may stay invisible
 ANSWER_MARGIN_MS = 400
+ASK_LOG_MS = 150  # a read of the log takes some ms; a slow one isn't waited for
 
 
 class Pending(NamedTuple):
@@ -52,6 +55,13 @@
     repeat_at_ms: int = 0
 
 
+class Parked(NamedTuple):
+    """A call that waits for what the log says now."""
+
+    call: object
+    since_ms: int
+
+
 class JobsController(Controller):
     """Accepts, cancels and shows jobs; the log is the only truth."""
 
@@ -67,6 +77,9 @@
         self._append_failed_ms = -1
         self._append_done_ms = 0
         self._configured = False
+        self._tail = None
+        self._pausing_until_ms = 0
+        self._parked = []
 
     @singledispatchmethod
     def receive(self, message):
@@ -82,11 +95,13 @@
     def records(self, message: RecordsRead):
         """Fold a page, and settle submissions that stand in it."""
         self._read_ms = self._context.clock.now_ms()
+        self._pausing_until_ms = self._read_ms + message.pause_ms
         for offset, record_id, record in decode_records(self._context, message):
             self._ledger.fold(offset, record)
             pending = self._pending.get(record_id)
             if pending is not None:
                 self._settle(pending, WorkReply())
+        self._serve_parked(message.asked_ms)
         if message.caught_up and not self._caught_up:
             self._caught_up = True
             self._context.logger.info(
@@ -100,8 +115,16 @@
 
     @receive.register
     def passed(self, message: CallPassed):
-        """Serve a call that came through the chain."""
+        """Serve a call that came through the chain, by what the log says now."""
         call = message.call
+        now_ms = self._context.clock.now_ms()
+        if now_ms < self._pausing_until_ms and self._depends_on_log(call):
+            self._parked.append(Parked(call, now_ms))
+            tell(self._tail, ReadNow())
+            return
+        self._serve(call)
+
+    def _serve(self, call):
         serve = {
             CallKind.SUBMIT: self._submit,
             CallKind.STATE: self._show,
@@ -143,6 +166,7 @@
     def tick(self, message: Tick):
         """Repeat appends whose outcome is unknown, until their callers have gone."""
         now_ms = self._context.clock.now_ms()
+        self._serve_parked(now_ms - ASK_LOG_MS)
         for record_id, pending in list(self._pending.items()):
             if now_ms >= pending.state.deadline_ms:
                 self._settle(pending, _unknown())
@@ -155,6 +179,11 @@
         """Ready with a configuration, and a log that answers."""
         message.reply.set(self._configured and self._fresh())
 
+    @receive.register
+    def use_tail(self, message: UseTail):
+        """Name the link that reads the work stream."""
+        self._tail = message.tail
+
     @receive.register
     def use_calls(self, message: UseCalls):
         """Name the controller that is told the answers."""
@@ -173,6 +202,22 @@
             "caught_up": self._caught_up,
         }
 
+    def _depends_on_log(self, call):
+        """Return whether what was written lately may change the answer."""
+        if call.kind not in (CallKind.STATE, CallKind.CANCEL):
+            return False
+        progress = self._ledger.jobs.get(call.job_id)
+        return progress is None or progress.active
+
+    def _serve_parked(self, asked_ms):
+        """Serve the calls that waited for a read that was asked for by `asked_ms`."""
+        parked, self._parked = self._parked, []
+        for item in parked:
+            if item.since_ms <= asked_ms:
+                self._serve(item.call)
+            else:
+                self._parked.append(item)
+
     def _submit(self, call):
         if call.job_id in self._ledger.jobs:
             self._answer(call, WorkReply())
--- a/knapweedshed/controllers/messages.py
+++ b/knapweedshed/controllers/messages.py
@@ -51,12 +51,28 @@
 
 
 class RecordsRead(NamedTuple):
-    """Records of a stream, in order; `first_retained` is its lower bound."""
+    """Records of a stream, in order; `first_retained` is its lower bound.
+
+    `asked_ms` is when they were asked for. The next read begins after `pause_ms`, or
+    when `ReadNow` comes; 0: it has begun.
+    """
 
     stream: str
     records: tuple[StoredRecord, ...]
     first_retained: int
     caught_up: bool
+    asked_ms: int = 0
+    pause_ms: int = 0
+
+
+class PaceReads(NamedTuple):
+    """How long the reader of a stream pauses after it has read something."""
+
+    pause_ms: int
+
+
+class ReadNow(NamedTuple):
+    """Read the stream now, if the reader pauses."""
 
 
 class LogUnreadable(NamedTuple):
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -15,6 +15,8 @@
     AppendFailed,
     AppendRecord,
     LogUnreadable,
+    PaceReads,
+    ReadNow,
     RecordsRead,
     Tick,
 )
@@ -26,6 +28,7 @@
     Order,
     OrderAnswered,
     PlanNow,
+    UseTail,
     UseWorkerFeed,
     WorkersListed,
 )
@@ -68,6 +71,7 @@
 
 LOG_PAUSE_MS = 300  # after a refused append, before anything new is launched
 TICK_MS = 200
+STREAM_PAUSE_MS = 400  # of hosts that don't act: two reads in a beat's silence
 PLAN_PAUSE_MS = 10  # lets what ends together be planned together
 PLAN_PAUSE_RATIO = 2  # planning takes a third of the processor at the most
 NOT_GIVEN = OrderOutcome(UNKNOWN, "no word from the log")
@@ -85,6 +89,7 @@
         self._ledger = WorkLedger()
         self._configuration = ServiceConfiguration()
         self._worker_feed = None
+        self._tail = None
         self._dispatcher = None
         self._links = WorkerLinks(context, timer, platform, self.actor_ref)
         self._appends = {}
@@ -153,6 +158,11 @@
         """Name the link that reads the platform's list."""
         self._worker_feed = message.feed
 
+    @receive.register
+    def use_tail(self, message: UseTail):
+        """Name the link that reads the work stream."""
+        self._tail = message.tail
+
     @receive.register
     def workers(self, message: WorkersListed):
         """Take the platform's list."""
@@ -198,7 +208,8 @@
 
     @receive.register
     def appended(self, message: AppendDone):
-        """Wait for the record to be read back: only that says that it counts."""
+        """Read the record back: only that says that it counts."""
+        tell(self._tail, ReadNow())
 
     @receive.register
     def not_appended(self, message: AppendFailed):
@@ -316,6 +327,7 @@
         if self._configuration.version >= 0:
             self._dispatcher.configure(self._configuration)
         tell(self._worker_feed, FollowWorkers(True))
+        tell(self._tail, PaceReads(0))
 
     def _end_term(self, reason):
         self._context.logger.info(
@@ -325,6 +337,7 @@
         self._appends = {}
         self._links.close()
         tell(self._worker_feed, FollowWorkers(False))
+        tell(self._tail, PaceReads(STREAM_PAUSE_MS))
         if self._leaving is not None:
             self._leaving.set(True)
 
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -52,6 +52,12 @@
     feed: Any
 
 
+class UseTail(NamedTuple):
+    """The link that reads the work stream."""
+
+    tail: Any
+
+
 class Hold(NamedTuple):
     """Ask a worker for its lists, and renew its leases."""
 
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -9,6 +9,8 @@
     AppendFailed,
     AppendRecord,
     LogUnreadable,
+    PaceReads,
+    ReadNow,
     RecordsRead,
 )
 from knapweedshed.links.platform import FAILURES, LogRecord, NoAnswer
@@ -24,8 +26,10 @@
     pass
 
 
-class _ReadNext(NamedTuple):
-    pass
+class ReadNext(NamedTuple):
+    """Go on reading; `pause` is the number of the pause that this ends."""
+
+    pause: int = 0
 
 
 class LogAppender(Actor):
@@ -96,7 +100,10 @@
 
 
 class LogTail(Actor):
-    """Reads a stream from `from_offset` on, forever, and tells its receiver."""
+    """Reads a stream from `from_offset` on, forever, and tells its receiver.
+
+    `pause_ms` after each page with records saves reads where nobody waits for them.
+    """
 
     def __init__(
         self,
@@ -107,8 +114,12 @@
         receiver,
         from_offset=0,
         longest_wait_ms=READ_WAIT_MS,
+        pause_ms=0,
     ):
         super().__init__(context)
+        self._pause_ms = pause_ms
+        self._pause = 0
+        self._pausing = False
         self._longest_wait_ms = longest_wait_ms
         self._log = log
         self._timer = timer
@@ -119,7 +130,7 @@
 
     def on_start(self):
         """Begin reading."""
-        self.actor_ref.tell(_ReadNext())
+        self.actor_ref.tell(ReadNext())
 
     def on_stop(self):
         """Close the connection."""
@@ -131,12 +142,33 @@
         super().receive(message)
 
     @receive.register
-    def read_next(self, message: _ReadNext):
+    def read_next(self, message: ReadNext):
         """Read one page; wait at the log while there is none."""
-        page = self._log.read(self._stream, self._next, READ_LIMIT, self._wait_ms)
+        if message.pause == self._pause:
+            self._pausing = False
+            self._read(self._wait_ms)
+
+    @receive.register
+    def read_now(self, message: ReadNow):
+        """Leave off pausing."""
+        if self._pausing:
+            self._pausing = False
+            self._pause += 1
+            self._read(0)
+
+    @receive.register
+    def pace(self, message: PaceReads):
+        """Pause longer or shorter from now on."""
+        self._pause_ms = message.pause_ms
+        if not self._pause_ms:
+            self.read_now(ReadNow())
+
+    def _read(self, wait_ms):
+        asked_ms = self._context.clock.now_ms()
+        page = self._log.read(self._stream, self._next, READ_LIMIT, wait_ms)
         if isinstance(page, FAILURES):
             tell(self._receiver, LogUnreadable(self._stream, page.reason))
-            self._timer.after(RETRY_MS, self.actor_ref, _ReadNext())
+            self._timer.after(RETRY_MS, self.actor_ref, ReadNext(self._pause))
             return
         self._wait_ms = self._longest_wait_ms
         if page.records:
@@ -146,8 +178,20 @@
         caught_up = len(page.records) < READ_LIMIT
         if page.end >= 0:
             caught_up = self._next >= page.end
+        pause_ms = self._pause_ms if page.records and caught_up else 0
         tell(
             self._receiver,
-            RecordsRead(self._stream, page.records, page.first_retained, caught_up),
+            RecordsRead(
+                self._stream,
+                page.records,
+                page.first_retained,
+                caught_up,
+                asked_ms,
+                pause_ms,
+            ),
         )
-        self.actor_ref.tell(_ReadNext())
+        if pause_ms:
+            self._pausing = True
+            self._timer.after(pause_ms, self.actor_ref, ReadNext(self._pause))
+        else:
+            self.actor_ref.tell(ReadNext(self._pause))
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -17,8 +17,17 @@
 from knapweedshed.controllers.calls import CallsController
 from knapweedshed.controllers.jobs import JobsController
 from knapweedshed.controllers.messages import Tick
-from knapweedshed.controllers.scheduling import TICK_MS, SchedulingController
-from knapweedshed.controllers.work_messages import Leave, UseCalls, UseWorkerFeed
+from knapweedshed.controllers.scheduling import (
+    STREAM_PAUSE_MS,
+    TICK_MS,
+    SchedulingController,
+)
+from knapweedshed.controllers.work_messages import (
+    Leave,
+    UseCalls,
+    UseTail,
+    UseWorkerFeed,
+)
 from knapweedshed.links.fanout import Fanout
 from knapweedshed.links.feeds import ConfigurationFeedLink, WorkerFeedLink
 from knapweedshed.links.log import LogAppender, LogTail
@@ -87,7 +96,10 @@
             WORK_STREAM,
             fanout,
             longest_wait_ms=STREAM_WAIT_MS,
+            pause_ms=STREAM_PAUSE_MS,
         )
+        for reader in (self._jobs, self._scheduling):
+            tell(reader, UseTail(tail))
         configuration = ConfigurationFeedLink.start(
             context,
             platform.configuration_feed(),
