Weak hosts claim the scheduler's role later

Change: a host below one core adds up to 600 ms to its wait before a claim, by its processor from the settings; on equal hosts nothing changes. Ruled out: naming hosts to each other by size, which needs messages for a rare choice.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -36,10 +36,10 @@
 from knapweedshed.decisions.dispatch import Dispatcher
 from knapweedshed.decisions.leadership import (
     BEAT_MS,
-    JITTER_MS,
     TERM_MS,
     Standing,
     acts,
+    claim_delay_ms,
     may_order,
     should_claim,
 )
@@ -97,7 +97,8 @@
         self._heard_ms = self._read_ms
         self._caught_up = False
         self._claimed_ms = -1
-        self._jitter_ms = self._new_jitter()
+        self._cores = settings.cores
+        self._jitter_ms = claim_delay_ms(self._cores, context.random)
         self._beat_ms = 0
         self._log_pause_until_ms = 0
         self._leaving = None
@@ -233,7 +234,7 @@
         standing = self._standing()
         if should_claim(standing, now_ms, self._jitter_ms):
             self._claimed_ms = now_ms
-            self._jitter_ms = self._new_jitter()
+            self._jitter_ms = claim_delay_ms(self._cores, self._context.random)
             self._append(ActingClaimed(self._ledger.epoch + 1, self._host))
         if self._dispatcher is None:
             return
@@ -432,8 +433,5 @@
             self._leaving is not None,
         )
 
-    def _new_jitter(self):
-        return self._context.random.randrange(JITTER_MS)
-
     def _now_ms(self):
         return self._context.clock.now_ms()
--- a/knapweedshed/decisions/leadership.py
+++ b/knapweedshed/decisions/leadership.py
@@ -9,6 +9,8 @@
 SILENT_MS = 1_600  # three beats and a slow store's answer
 BEAT_MS = 450  # a successor must tell silence from a slow store
 JITTER_MS = 400  # spreads the claims of hosts that notice together
+WEAK_HOST_MS = 600  # more than the jitter: the weakest claim after all others
+ENOUGH_CORES = 1.0  # the acting host of 176 workers took 0.36 on a calm day
 CLAIM_AGAIN_MS = 1_500  # a claim that isn't read back by then is made again
 TERM_MS = 10_000  # longest acting without word from the log: outlasts its outages
 
@@ -40,6 +42,12 @@
     return acts(standing) and now_ms - standing.read_ms < TERM_MS
 
 
+def claim_delay_ms(cores, random):
+    """Return how long a host of so many cores waits before it claims."""
+    weakness = max(0.0, 1 - cores / ENOUGH_CORES)
+    return random.randrange(JITTER_MS) + int(weakness * WEAK_HOST_MS)
+
+
 def should_claim(standing, now_ms, jitter_ms):
     """Return whether to claim the next epoch now."""
     if standing.leaving or not standing.caught_up or acts(standing):
--- a/knapweedshed/models/host.py
+++ b/knapweedshed/models/host.py
@@ -8,7 +8,8 @@
 
     `lease_ms` is the longest lease that workers grant, `grace_ms` the time between
     the wish to stop and the end, `early_ms` how early a due job may start, and
-    `log_keep_ms` how long the log keeps a record.
+    `log_keep_ms` how long the log keeps a record. `cores` is
+    the host's processor, in cores.
     """
 
     name: str
@@ -19,3 +20,4 @@
     lease_ms: int
     early_ms: int
     log_keep_ms: int = 300_000
+    cores: float = 1.0
--- a/knapweedshed/platform/settings.py
+++ b/knapweedshed/platform/settings.py
@@ -22,6 +22,10 @@
 
 def decode_settings(plain):
     """Return (`HostSettings`, store address); raises ValueError with the fault."""
+    cores = 1.0
+    if isinstance(plain, dict) and "limits" in plain:
+        share = _number(plain, "limits", "cpu_share")
+        cores = share * _number(plain, "limits", "cores")
     settings = HostSettings(
         name=_text(plain, "node"),
         data_centre=_text(plain, "zone"),
@@ -31,6 +35,7 @@
         lease_ms=int(_number(plain, "bounds", "hold_max_ms")),
         early_ms=int(_number(plain, "bounds", "early_ms")),
         log_keep_ms=int(_number(plain, "platform", "keep_s") * MS_PER_SECOND),
+        cores=cores,
     )
     return settings, _address(plain, "platform", "addr")
 
--- a/tests/test_work_roles.py
+++ b/tests/test_work_roles.py
@@ -1,6 +1,7 @@
 """When a host claims the role, and what an append's outcome means for a caller."""
 
 import unittest
+from random import Random
 
 from knapweedshed.decisions.acceptance import (
     AppendState,
@@ -11,9 +12,11 @@
 )
 from knapweedshed.decisions.leadership import (
     CLAIM_AGAIN_MS,
+    JITTER_MS,
     SILENT_MS,
     TERM_MS,
     Standing,
+    claim_delay_ms,
     may_order,
     should_claim,
 )
@@ -50,6 +53,12 @@
         now_ms = 9_900 + CLAIM_AGAIN_MS
         self.assertTrue(should_claim(free._replace(read_ms=now_ms), now_ms, 0))
 
+    def test_weaker_hosts_claim_later(self):
+        latest_of_strong = max(claim_delay_ms(1.07, Random(n)) for n in range(200))
+        earliest_of_weak = min(claim_delay_ms(0.3, Random(n)) for n in range(200))
+        self.assertLess(latest_of_strong, earliest_of_weak)
+        self.assertLess(claim_delay_ms(2.0, Random(1)), JITTER_MS)
+
     def test_orders_end_with_the_term(self):
         acting = CALM._replace(acting_host="me")
         self.assertTrue(may_order(acting, 10_000 + TERM_MS - 1))
