Bound what urgent work may throw away; let it wait a moment for a fast worker

Urgent work that no guarantee covers could stop others at up to four times its own work, and yet was placed on slow workers on which it ends late. Change: it may stop others at up to half of its own work (a tenth once late). It looks for workers on which it ends in time first, among those that are free, then those being stopped, then by stopping others, for 800 ms after its acceptance; then it takes any.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -11,8 +11,10 @@
 from knapweedshed.models.work_orders import Preempted
 
 MS_PER_SECOND = 1_000
-LOSS_RATIO_IN_TIME = 4.0  # urgent work earns four times what its core-seconds cost
-LOSS_RATIO_LATE = 0.8  # and a fifth of that once it is late: site files
+
+LOSS_RATIO_IN_TIME = 0.5  # of its own work: what a place in time may cost
+LOSS_RATIO_LATE = 0.1  # late work earns a fifth: site files
+FAST_PATIENCE_MS = 800  # a stop takes 200; a guarantee is owed after 2,700: sheets
 
 
 class UnitPlan(NamedTuple):
@@ -91,38 +93,66 @@
             for unit in waiting.units:
                 if unit not in plain:
                     self._place_unit(waiting._replace(units=(unit,)), True)
-        if not plain:
-            return
-        if plain[0].index == GANG:
-            self._place_unit(waiting, False)
-            return
-        chosen = ()
+        if waiting.priority == URGENT_PRIORITY or waiting.units[0].index == GANG:
+            for unit in plain:
+                self._place_unit(waiting._replace(units=(unit,)), False)
+        elif plain:
+            self._place_tasks(waiting, plain)
+
+    def _place_tasks(self, waiting, units):
+        """Place as many single tasks of a step as there is room for."""
         likeness = (waiting.step, waiting.count, False)
-        if likeness not in self._full:
-            chosen = self._room.take_some(waiting, len(plain))
+        if likeness in self._full:
+            return
+        chosen = self._room.take_some(waiting, len(units))
         self._starts.extend(
-            (unit, (worker_id,)) for unit, worker_id in zip(plain, chosen, strict=False)
+            (unit, (worker_id,)) for unit, worker_id in zip(units, chosen, strict=False)
         )
-        left = plain[len(chosen) :]
-        if left:
+        if len(chosen) < len(units):
             self._full.add(likeness)
-        if waiting.priority == URGENT_PRIORITY:
-            for unit in left:
-                self._make_way(waiting._replace(units=(unit,)), False)
 
     def _place_unit(self, waiting, avoiding):
         likeness = (waiting.step, waiting.count, avoiding)
         spread = self._racks.spreads(waiting)
-        placed = ()
         if likeness not in self._full:
-            placed = self._room.take_now(waiting, spread)
-        if placed:
-            self._starts.append((waiting.units[0], placed))
-            return
+            if self._place_in_time(waiting, spread):
+                return
+            if self._start(waiting, self._room.take_now(waiting, spread)):
+                return
         self._full.add(likeness)
         if waiting.priority == URGENT_PRIORITY:
             self._make_way(waiting, spread)
 
+    def _start(self, waiting, placed):
+        if placed:
+            self._starts.append((waiting.units[0], placed))
+        return bool(placed)
+
+    def _place_in_time(self, waiting, spread):
+        """Place urgent work where it ends in time, or wait a moment for such a place.
+
+        A slow worker that is free would end it late, which earns a fifth.
+        """
+        now_ms = self._at.now_ms
+        if waiting.priority != URGENT_PRIORITY or now_ms >= waiting.due_ms:
+            return False
+        needed = waiting.chain_ms / (waiting.due_ms - now_ms)
+        if self._start(waiting, self._room.take_now(waiting, spread, needed)):
+            return True
+        if now_ms - waiting.since_ms > FAST_PATIENCE_MS:
+            return False
+        if self._room.reserve(waiting, spread, needed):
+            return True
+        sites = self._room.sites_soon(waiting, needed, all_workers=True)
+        chosen = self._victims(
+            waiting, sites, spread, LOSS_RATIO_IN_TIME * waiting.work
+        )
+        if not chosen:
+            return False
+        self._preempt(waiting, chosen)
+        self._room.reserve(waiting, spread, needed)
+        return True
+
     def _make_way(self, waiting, spread):
         """Wait for what is being stopped; stop more for urgent work that needs it."""
         if self._room.reserve(waiting, spread):
@@ -130,17 +160,26 @@
         shape = (waiting.step, waiting.count, waiting.guaranteed)
         if shape in self._hopeless:
             return
-        chosen = choose_victims(
+        sites = self._room.sites_soon(waiting, all_workers=True)
+        most = most_loss(waiting, self._at.now_ms)
+        chosen = self._victims(waiting, sites, spread, most)
+        if not chosen:
+            self._hopeless.add(shape)
+            return
+        self._preempt(waiting, chosen)
+        self._room.reserve(waiting, spread)
+
+    def _victims(self, waiting, sites, spread, most_cost):
+        return choose_victims(
             waiting.step,
             waiting.count,
-            self._room.sites_soon(waiting, all_workers=True),
+            sites,
             self._holdings_below(waiting.priority),
             spread,
-            most_loss(waiting, self._at.now_ms),
+            most_cost,
         )
-        if not chosen:
-            self._hopeless.add(shape)
-            return
+
+    def _preempt(self, waiting, chosen):
         units = tuple(holding.unit for holding in chosen)
         lost = sum(holding.cost for holding in chosen)
         self._preempted.append(
@@ -148,7 +187,6 @@
         )
         self._stopped.update(units)
         self._room.give_back(units)
-        self._room.reserve(waiting, spread)
 
     def _is_avoiding(self, unit):
         until = self._at.avoided.get(unit)
--- a/knapweedshed/decisions/room.py
+++ b/knapweedshed/decisions/room.py
@@ -45,9 +45,9 @@
             self._soon[worker_id] = self._now[worker_id].plus(belief.being_stopped())
         self._resident = None
 
-    def take_now(self, waiting, spread):
+    def take_now(self, waiting, spread, least_speed=0.0):
         """Place all tasks of a unit on what is free and not reserved; or return ()."""
-        sites = self._sites(waiting, self._now, self._soon)
+        sites = self._sites(waiting, self._now, self._soon, least_speed)
         chosen = place(waiting.step, waiting.count, sites, spread, waiting.wanted_speed)
         self._subtract(waiting, chosen, now=True)
         return chosen
@@ -59,19 +59,19 @@
         self._subtract(waiting, chosen, now=True)
         return chosen
 
-    def reserve(self, waiting, spread):
+    def reserve(self, waiting, spread, least_speed=0.0):
         """Keep places that will be free soon; return them, or ()."""
-        sites = self.sites_soon(waiting)
+        sites = self.sites_soon(waiting, least_speed)
         chosen = place(waiting.step, waiting.count, sites, spread, waiting.wanted_speed)
         self._subtract(waiting, chosen, now=False)
         return chosen
 
-    def sites_soon(self, waiting, all_workers=False):
+    def sites_soon(self, waiting, least_speed=0.0, all_workers=False):
         """Return the sites as they are once all stops have ended.
 
         Those that can't take a task are left out, unless `all_workers` are asked for.
         """
-        return self._sites(waiting, self._soon, self._soon, all_workers)
+        return self._sites(waiting, self._soon, self._soon, least_speed, all_workers)
 
     def give_back(self, units):
         """Count what victims hold as free soon."""
@@ -84,14 +84,14 @@
                 if member is not None and member.phase != MemberPhase.STOPPING:
                     self._soon[worker_id] = self._soon[worker_id].plus(member.need)
 
-    def _sites(self, waiting, some, others, all_workers=False):
+    def _sites(self, waiting, some, others, least_speed=0.0, all_workers=False):
         """Return sites whose free capacity is the least of two views of it."""
         need = waiting.step.need
         avoided = self._avoided.get(waiting.units[0], {})
         resident = self._residents_of(waiting)
         sites = []
         for spot in self._spots:
-            if spot.service != waiting.service:
+            if spot.service != waiting.service or spot.speed < least_speed:
                 continue
             one, other = some[spot.worker_id], others[spot.worker_id]
             if not all_workers and not (one.holds(need) and other.holds(need)):
