Explain a request from its id: knapweedshed explain

Cause: on-call engineers have nothing but log lines of several hosts, whose clocks differ. Change: explain reads JSON lines of any number of hosts, sets their clocks by the lines that all of them write about the same record of the log, puts one request's lines in order, and names the decision that counts, with what each cause took. Runs that fail or lapse have a line of their own (run ended), with their worker. Ruled out: trusting the time of day (it jumps by seconds), and naming the last bad line as the cause (a late job may have waited, been preempted and failed; the longest delay counts).

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -52,6 +52,20 @@
             },
         )
 
+    def run_lost(self, lost):
+        """Say that a run failed, or that its worker was out of reach for too long."""
+        self._context.metrics.count(f"runs.{lost.kind}")
+        self._logger.info(
+            "run ended",
+            extra={
+                "job": lost.task.job_id,
+                "task": list(lost.task[1:]),
+                "run": lost.run,
+                "worker": lost.worker_id,
+                "how": str(lost.kind),
+            },
+        )
+
     def hang(self, hang):
         """Say that a worker is left out, as nothing moves on it."""
         self._context.metrics.count("workers.hang")
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -58,6 +58,7 @@
     Preempted,
     RecordEnds,
     RecordLaunches,
+    RunLost,
     WorkerHangs,
 )
 from knapweedshed.models.work_records import (
@@ -390,6 +391,8 @@
                 self._append(RunsLaunched(self._ledger.epoch, action.launches))
             elif isinstance(action, Preempted):
                 self._log.preempted(action)
+            elif isinstance(action, RunLost):
+                self._log.run_lost(action)
             elif isinstance(action, WorkerHangs):
                 self._log.hang(action)
             elif may_order(self._standing(), self._now_ms()):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -37,6 +37,7 @@
     REASON_UNREACHABLE,
     UNKNOWN,
     RecordLaunches,
+    RunLost,
     StartRun,
     StopRun,
 )
@@ -54,6 +55,7 @@
     REASON_UNREACHABLE,
     REASON_OTHER_INCARNATION,
 )
+LOST = (EndKind.FAILED, EndKind.LAPSED)
 SICK_REASONS = (REASON_UNHEALTHY, REASON_UNREACHABLE)
 
 
@@ -359,6 +361,12 @@
     def _clear(self, belief, gone, now_ms):
         orders = []
         for item in gone:
+            if item.kind in LOST:
+                orders.append(
+                    RunLost(
+                        belief.worker_id, item.member.task, item.member.run, item.kind
+                    )
+                )
             orders.extend(
                 self._member_gone(item.member.task, item.member.run, item.kind, now_ms)
             )
--- a/knapweedshed/models/work_orders.py
+++ b/knapweedshed/models/work_orders.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from knapweedshed.models.work import Task, TaskEnd, Unit
+from knapweedshed.models.work import EndKind, Task, TaskEnd, Unit
 from knapweedshed.models.work_records import Launched
 
 
@@ -46,6 +46,15 @@
     lost: float
 
 
+class RunLost(NamedTuple):
+    """A run ended as failed, or its lease has lapsed."""
+
+    worker_id: str
+    task: Task
+    run: int
+    kind: EndKind
+
+
 class WorkerHangs(NamedTuple):
     """A worker on which nothing has moved for a while is left out."""
 
--- a/knapweedshed/programs/client.py
+++ b/knapweedshed/programs/client.py
@@ -8,12 +8,14 @@
 from io import StringIO
 
 import fire
+from fire.decorators import SetParseFns
 from tqdm import tqdm
 
 from knapweedshed import __version__
 from knapweedshed.clock import MS_PER_SECOND, create_clock
 from knapweedshed.codecs import text
 from knapweedshed.links.entry_client import EntryClient, Work
+from knapweedshed.programs.explaining import print_story
 from knapweedshed.results import Result, ResultCode, is_final, says_not_run
 from knapweedshed.settings import parse_address
 from knapweedshed.status import ExitStatus
@@ -100,6 +102,17 @@
         """List the organisations in force."""
         return _list(self._client, "/v1/organisations", json)
 
+    @SetParseFns(request=str)
+    def explain(self, request, *files, json=False):
+        """Tell what became of a request, and why, from the hosts' log lines.
+
+        Args:
+            request: the caller's id of the job.
+            files: logs of any number of hosts; - reads standard input.
+            json: print one JSON object.
+        """
+        return print_story(request, files or ("-",), json)
+
     def state(self):
         """Print an entry's state dump as JSON."""
         return _print_json(self._client.read("GET", "/v1/state"))
--- a/tests/work_world.py
+++ b/tests/work_world.py
@@ -21,6 +21,7 @@
     Preempted,
     RecordEnds,
     RecordLaunches,
+    RunLost,
     StartRun,
     WorkerHangs,
 )
@@ -175,7 +176,7 @@
                 changed = self.fold(TasksEnded(self.epoch, action.ends))
                 self.dispatcher.ends_read(action.ends)
                 self.do(self.dispatcher.take_fold(changed, self.now_ms))
-            elif isinstance(action, (Preempted, WorkerHangs)):
+            elif isinstance(action, (Preempted, RunLost, WorkerHangs)):
                 self.records.append(action)
             else:
                 self._give(action)
