Keep the values that exchanges return in models, not in links

Change: answers and failures of exchanges are in models/outcomes.py, what inputs are made of in models/jobs.py; controllers import only actors that they start from links. Ruled out: leaving names behind in links/platform.py for old imports (two ways to one type).

--- a/knapweedshed/controllers/attempts.py
+++ b/knapweedshed/controllers/attempts.py
@@ -26,10 +26,10 @@
 from knapweedshed.decisions.lease_ids import incarnation_of, lease_id_of, worker_of
 from knapweedshed.decisions.ledger import IntentWon
 from knapweedshed.decisions.pauses import PauseDetector
-from knapweedshed.links.platform import Done, Freed, Granted, Refused
 from knapweedshed.models import attempts as events
 from knapweedshed.models.attempts import Outcome, Phase
 from knapweedshed.models.ledger import AttemptRefuted, IntentRecorded
+from knapweedshed.models.outcomes import Done, Freed, Granted, Refused
 from knapweedshed.models.workers import Labels
 
 TRANSIENT_PHASES = (
--- a/knapweedshed/controllers/messages.py
+++ b/knapweedshed/controllers/messages.py
@@ -2,10 +2,10 @@
 
 from typing import Any, NamedTuple
 
-from knapweedshed.links.platform import StoredRecord
 from knapweedshed.models.configuration import Configuration
 from knapweedshed.models.jobs import Job, JobStatus
 from knapweedshed.models.ledger import OpenJob
+from knapweedshed.models.outcomes import StoredRecord
 from knapweedshed.models.planning import Launch
 from knapweedshed.models.workers import Host, WorkerReport
 
--- a/knapweedshed/controllers/requests.py
+++ b/knapweedshed/controllers/requests.py
@@ -36,9 +36,9 @@
 from knapweedshed.filters.organisation import OrganisationFilter
 from knapweedshed.filters.retry import RetryFilter
 from knapweedshed.filters.routing import RoutingFilter
-from knapweedshed.links.platform import FAILURES
 from knapweedshed.models.configuration import Configuration, ServiceKind
 from knapweedshed.models.jobs import AnswerLocation, JobState, JobStatus
+from knapweedshed.models.outcomes import FAILURES
 from knapweedshed.models.requests import Reply, Request
 from knapweedshed.results import Result, ResultCode, is_final
 
--- a/knapweedshed/controllers/runners.py
+++ b/knapweedshed/controllers/runners.py
@@ -18,7 +18,7 @@
 from knapweedshed.decisions.prediction import create_prediction
 from knapweedshed.decisions.routing import RunnerView, create_routing, smoothed
 from knapweedshed.decisions.short_queue import ShortQueue, ShortRequest
-from knapweedshed.links.platform import FAILURES, Refused, RunnerAnswer
+from knapweedshed.models.outcomes import FAILURES, Refused, RunnerAnswer
 from knapweedshed.models.workers import Host
 from knapweedshed.results import Result, ResultCode
 
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -47,8 +47,8 @@
 from knapweedshed.decisions.unit_runs import Bounds
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_work_order
-from knapweedshed.links.platform import FAILURES
 from knapweedshed.links.worker_links import WorkerLinks
+from knapweedshed.models.outcomes import FAILURES
 from knapweedshed.models.service import ServiceConfiguration
 from knapweedshed.models.work_orders import (
     DONE,
--- a/knapweedshed/controllers/submissions.py
+++ b/knapweedshed/controllers/submissions.py
@@ -19,8 +19,13 @@
     AppendRecord,
     Tick,
 )
-from knapweedshed.links.inputs import CHUNK_BYTES, INLINE_LIMIT_BYTES, inputs_stream
-from knapweedshed.models.jobs import InputReference, Job
+from knapweedshed.models.jobs import (
+    CHUNK_BYTES,
+    INLINE_LIMIT_BYTES,
+    InputReference,
+    Job,
+    inputs_stream,
+)
 from knapweedshed.models.ledger import InputChunk, JobAccepted
 from knapweedshed.results import Result, ResultCode
 
--- a/knapweedshed/controllers/workers.py
+++ b/knapweedshed/controllers/workers.py
@@ -14,8 +14,8 @@
     WorkersKnown,
 )
 from knapweedshed.decisions.lease_ids import worker_of
-from knapweedshed.links.platform import NotSent
 from knapweedshed.links.workers import WorkerCommands, WorkerWatch
+from knapweedshed.models.outcomes import NotSent
 from knapweedshed.models.workers import ENDED_STATES
 
 RENEW_MS_PER_WORKER = 75
--- a/knapweedshed/links/answers.py
+++ b/knapweedshed/links/answers.py
@@ -5,7 +5,7 @@
 from knapweedshed.actors import Actor
 from knapweedshed.controllers.entry_messages import FetchAnswer
 from knapweedshed.decisions.answers import is_whole
-from knapweedshed.links.platform import AnswerPart, NoAnswer, Refused
+from knapweedshed.models.outcomes import AnswerPart, NoAnswer, Refused
 
 MOST_TRIES = 3
 
--- a/knapweedshed/links/callers.py
+++ b/knapweedshed/links/callers.py
@@ -23,7 +23,7 @@
 from knapweedshed.decisions.configuration import Decision, check_entry
 from knapweedshed.decisions.feasibility import check_guarantees
 from knapweedshed.links.http_server import Answer, json_answer
-from knapweedshed.links.platform import Refused
+from knapweedshed.models.outcomes import Refused
 from knapweedshed.models.requests import Request
 from knapweedshed.results import OK, Result, ResultCode, is_final
 
--- a/knapweedshed/links/entry_client.py
+++ b/knapweedshed/links/entry_client.py
@@ -6,7 +6,7 @@
 from knapweedshed.clock import MS_PER_SECOND
 from knapweedshed.codecs import text
 from knapweedshed.links.http_client import HttpClient
-from knapweedshed.links.platform import NoAnswer, NotSent
+from knapweedshed.models.outcomes import NoAnswer, NotSent
 from knapweedshed.results import Result, ResultCode, is_final
 
 POLL_MS = 5_000
--- a/knapweedshed/links/feeds.py
+++ b/knapweedshed/links/feeds.py
@@ -9,7 +9,7 @@
     FollowWorkers,
     WorkersListed,
 )
-from knapweedshed.links.platform import FAILURES
+from knapweedshed.models.outcomes import FAILURES
 
 CONFIGURATION_WAIT_MS = 1_000  # a silent connection is noticed soon after
 CONFIGURATION_RETRY_MS = 250
--- a/knapweedshed/links/hosts.py
+++ b/knapweedshed/links/hosts.py
@@ -4,7 +4,7 @@
 
 from knapweedshed.actors import Actor, tell
 from knapweedshed.controllers.messages import HostsListed, Tick
-from knapweedshed.links.platform import FAILURES
+from knapweedshed.models.outcomes import FAILURES
 
 HOSTS_PERIOD_MS = 2_000
 
--- a/knapweedshed/links/http_client.py
+++ b/knapweedshed/links/http_client.py
@@ -6,7 +6,7 @@
 import urllib3
 
 from knapweedshed.clock import MS_PER_SECOND
-from knapweedshed.links.platform import NoAnswer, NotSent, Refused
+from knapweedshed.models.outcomes import NoAnswer, NotSent, Refused
 
 CONNECT_TIMEOUT_MS = 1_000
 ANSWER_MARGIN_MS = 1_000
--- a/knapweedshed/links/http_platform.py
+++ b/knapweedshed/links/http_platform.py
@@ -3,20 +3,22 @@
 from knapweedshed.codecs import text
 from knapweedshed.links.http_client import HttpClient, Response
 from knapweedshed.links.platform import (
+    HostList,
+    LogService,
+    Platform,
+    RunnerService,
+    WorkerService,
+    register_platform,
+)
+from knapweedshed.models.outcomes import (
     AnswerPart,
     Done,
     Freed,
     Granted,
-    HostList,
     LogPage,
-    LogService,
     NoAnswer,
-    Platform,
     RunnerAnswer,
-    RunnerService,
     StoredRecord,
-    WorkerService,
-    register_platform,
 )
 from knapweedshed.models.workers import Host, HostState
 
--- a/knapweedshed/links/inputs.py
+++ b/knapweedshed/links/inputs.py
@@ -7,19 +7,12 @@
 from knapweedshed.codecs import text
 from knapweedshed.controllers.messages import InputAsked, InputFetched
 from knapweedshed.digests import digest_of
-from knapweedshed.links.platform import FAILURES
+from knapweedshed.models.outcomes import FAILURES
 
-INLINE_LIMIT_BYTES = 8 * 1024
-CHUNK_BYTES = 512 * 1024
 CACHE_BYTES = 64 * 1024 * 1024
 READ_LIMIT = 20
 
 
-def inputs_stream(data_centre):
-    """Return the name of the stream that holds a data centre's job inputs."""
-    return f"inputs-{data_centre}"
-
-
 class InputsLink(Actor):
     """Reads inputs from the log, checks their digest, and keeps the latest few."""
 
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -13,7 +13,7 @@
     ReadNow,
     RecordsRead,
 )
-from knapweedshed.links.platform import FAILURES, LogRecord, NoAnswer
+from knapweedshed.models.outcomes import FAILURES, LogRecord, NoAnswer
 
 READ_LIMIT = 500
 READ_WAIT_MS = 5_000
--- a/knapweedshed/links/workers.py
+++ b/knapweedshed/links/workers.py
@@ -10,7 +10,7 @@
     WorkerCommand,
     WorkerReported,
 )
-from knapweedshed.links.platform import FAILURES
+from knapweedshed.models.outcomes import FAILURES
 
 RETRY_MS = 500
 
--- a/knapweedshed/models/jobs.py
+++ b/knapweedshed/models/jobs.py
@@ -7,6 +7,9 @@
 from knapweedshed.models.shapes import Shape
 from knapweedshed.results import ResultCode
 
+INLINE_LIMIT_BYTES = 8 * 1024
+CHUNK_BYTES = 512 * 1024
+
 
 class InputReference(NamedTuple):
     """Where a job's input stands: inline, or in chunks in a log stream."""
@@ -70,3 +73,8 @@
     wait_ms: int = 0
     run_ms: int = 0
     workers: tuple[str, ...] = ()
+
+
+def inputs_stream(data_centre):
+    """Return the name of the stream that holds a data centre's job inputs."""
+    return f"inputs-{data_centre}"
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -1,8 +1,8 @@
 """The operator's configuration and the workers' entries, as the store keeps them."""
 
 from knapweedshed.codecs import text
-from knapweedshed.links.platform import FAILURES
 from knapweedshed.links.service import ConfigurationFeed, WorkerFeed
+from knapweedshed.models.outcomes import FAILURES
 from knapweedshed.models.service import Owner, Queue, ServiceConfiguration
 from knapweedshed.models.work import Resources, WorkerEntry
 from knapweedshed.platform.store import UNREADABLE, Store
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -5,13 +5,8 @@
 
 from knapweedshed.codecs import text
 from knapweedshed.links.http_client import HttpClient, Response
-from knapweedshed.links.platform import (
-    LogPage,
-    LogService,
-    NoAnswer,
-    Refused,
-    StoredRecord,
-)
+from knapweedshed.links.platform import LogService
+from knapweedshed.models.outcomes import LogPage, NoAnswer, Refused, StoredRecord
 
 CONNECT_MS = 500  # one way takes 1.4 ms at most; a lost opening packet takes 1 s
 ANSWER_MS = 800  # a store that is 60 times slower answers in 250 ms
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -2,8 +2,8 @@
 
 from knapweedshed.codecs import text
 from knapweedshed.links.http_client import HttpClient, Response
-from knapweedshed.links.platform import NoAnswer, NotSent, Refused
 from knapweedshed.links.service import WorkerCalls
+from knapweedshed.models.outcomes import NoAnswer, NotSent, Refused
 from knapweedshed.models.work import EndKind, Task, TaskEnd, TaskRun, WorkerLists
 from knapweedshed.models.work_orders import (
     DONE,
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -6,8 +6,8 @@
 
 from knapweedshed.clock import create_clock
 from knapweedshed.links.http_server import Call
-from knapweedshed.links.platform import LogRecord, NoAnswer, Refused
 from knapweedshed.models.calls import CallKind, WorkReply
+from knapweedshed.models.outcomes import LogRecord, NoAnswer, Refused
 from knapweedshed.models.work import Resources, Task, WorkState
 from knapweedshed.models.work_orders import (
     DONE,
--- a/tests/test_jobs_controller.py
+++ b/tests/test_jobs_controller.py
@@ -9,8 +9,8 @@
 from knapweedshed.controllers.jobs import ASK_LOG_MS, JobsController
 from knapweedshed.controllers.messages import ReadNow, RecordsRead, Tick
 from knapweedshed.controllers.work_messages import CallPassed, UseCalls, UseTail
-from knapweedshed.links.platform import StoredRecord
 from knapweedshed.models.calls import CallKind, WorkCall
+from knapweedshed.models.outcomes import StoredRecord
 from knapweedshed.models.work_records import WORK_STREAM, WorkAccepted
 from knapweedshed.results import ResultCode
 from tests.work_world import make_job
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -18,14 +18,8 @@
 from knapweedshed.links import log as links
 from knapweedshed.links.feeds import WorkerFeedLink
 from knapweedshed.links.http_client import HttpClient
-from knapweedshed.links.platform import (
-    LogPage,
-    LogService,
-    NoAnswer,
-    NotSent,
-    StoredRecord,
-    create_platform,
-)
+from knapweedshed.links.platform import LogService, create_platform
+from knapweedshed.models.outcomes import LogPage, NoAnswer, NotSent, StoredRecord
 from knapweedshed.models.shapes import Adjacency, Shape
 from knapweedshed.models.wire import Watch
 
