Tell the successor how fast workers are

Speeds were learned by the acting host alone, and each of its takeovers began with none. Change: the acting host writes what it learned of speeds to the stream (changes of 15% and more each second, all of it each 6 s); whoever acts next begins with it. A worker that starts anew may be of another kind: its speed is forgotten, which it was not before. Tests: tests/test_work_health.py, SuccessorSpeedsTest (fail before: nothing was told).

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -67,11 +67,13 @@
     ActingClaimed,
     ActingResigned,
     RunsLaunched,
+    SpeedsLearned,
     TasksEnded,
 )
 
 LOG_PAUSE_MS = 300  # after a refused append, before anything new is launched
 TICK_MS = 200
+SPEEDS_PERIOD_MS = 1_000  # a host that takes over knows what was learned till then
 STREAM_PAUSE_MS = 400  # of hosts that don't act: two reads in a beat's silence
 PLAN_PAUSE_MS = 10  # lets what ends together be planned together
 PLAN_PAUSE_RATIO = 2  # planning takes a third of the processor at the most
@@ -101,6 +103,7 @@
         self._cores = settings.cores
         self._jitter_ms = claim_delay_ms(self._cores, context.random)
         self._beat_ms = 0
+        self._speeds_told_ms = 0
         self._log_pause_until_ms = 0
         self._leaving = None
         self._term_epoch = 0
@@ -243,6 +246,7 @@
             self._beat_ms = now_ms
             self._append(ActingBeat(self._ledger.epoch, self._host))
         self._write_snapshots()
+        self._tell_speeds(now_ms)
         self._do(self._dispatcher.tick(now_ms))
         self._plan_soon()
 
@@ -407,6 +411,13 @@
         for job_id in self._snapshots.due(self._ledger, wall_ms):
             self._append(self._ledger.jobs[job_id].snapshot(epoch, wall_ms))
 
+    def _tell_speeds(self, now_ms):
+        if now_ms - self._speeds_told_ms >= SPEEDS_PERIOD_MS:
+            self._speeds_told_ms = now_ms
+            speeds = self._dispatcher.speeds_to_tell(now_ms)
+            if speeds:
+                self._append(SpeedsLearned(self._ledger.epoch, speeds))
+
     def _append(self, record):
         record_id = self._context.new_id()
         self._appends[record_id] = record
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -71,7 +71,9 @@
         self._end_records = EndRecords()
         self._configuration = None
         self._listed = False
-        self._speeds = WorkerSpeeds()
+        self._speeds = WorkerSpeeds(
+            (worker_id, *known) for worker_id, known in ledger.speeds.items()
+        )
         self._avoided = {}
         self._paces = PaceNotes(ledger, self._workers, self._runs, self._speeds)
         self._learned_ms = now_ms
@@ -98,6 +100,7 @@
         orders = []
         for entry in entries:
             listed.add(entry.worker_id)
+            self._speeds.know(entry.worker_id, entry.incarnation)
             belief = self._workers.get(entry.worker_id)
             if belief is None:
                 belief = WorkerBelief(
@@ -219,6 +222,10 @@
         actions.extend(self._end_records.overdue(now_ms))
         return actions
 
+    def speeds_to_tell(self, now_ms):
+        """Return what whoever acts next should know of speeds."""
+        return self._speeds.news(now_ms)
+
     def pending_records(self, now_ms):
         """Return a record of the ends that were not sent to the log yet, or none."""
         return self._end_records.fresh(now_ms)
--- a/knapweedshed/decisions/speeds.py
+++ b/knapweedshed/decisions/speeds.py
@@ -22,6 +22,8 @@
 SHORTEST_SPAN_MS = 300  # what a last step of progress says is rough
 LEAST_PERCENT = 0.3  # a run that stands still is slow beyond measure
 DONE_PERCENT = 100.0
+TOLD_RATIO = 1.15  # smaller changes don't change where work goes
+TELL_AGAIN_MS = 6_000  # a third of the shortest history of the log: sheets
 
 
 class Pace(NamedTuple):
@@ -36,10 +38,16 @@
 class WorkerSpeeds:
     """Speeds relative to the mean of all workers."""
 
-    def __init__(self):
+    def __init__(self, learned=()):
+        """`learned` has (worker id, incarnation, percent) of earlier terms."""
         self._paces = {}
         self._anchors = {}
         self._speeds = {}
+        self._incarnations = {}
+        self._told = {}
+        for worker_id, incarnation, percent in learned:
+            self._speeds[worker_id] = percent / DONE_PERCENT
+            self._incarnations[worker_id] = incarnation
 
     def observe(self, key, job_id, worker_id, percent, ran_ms, estimate_ms, now_ms):
         """Take the progress of a run; `key` names the run.
@@ -59,6 +67,33 @@
         value = math.log(moved / DONE_PERCENT * estimate_ms / span_ms)
         self._paces[key] = Pace(job_id, worker_id, value, now_ms)
 
+    def know(self, worker_id, incarnation):
+        """A worker is listed; one that has started anew may be of another kind."""
+        if self._incarnations.get(worker_id, incarnation) != incarnation:
+            self._speeds.pop(worker_id, None)
+            self._told.pop(worker_id, None)
+            self._paces = {
+                key: pace
+                for key, pace in self._paces.items()
+                if pace.worker_id != worker_id
+            }
+        self._incarnations[worker_id] = incarnation
+
+    def news(self, now_ms):
+        """Return (worker id, incarnation, percent) of what should be told again."""
+        news = []
+        for worker_id, speed in self._speeds.items():
+            if worker_id not in self._incarnations:
+                continue
+            told, told_ms = self._told.get(worker_id, (0.0, 0))
+            if now_ms - told_ms < TELL_AGAIN_MS:
+                if told * TOLD_RATIO > speed > told / TOLD_RATIO:
+                    continue
+            self._told[worker_id] = (speed, now_ms)
+            percent = round(speed * DONE_PERCENT)
+            news.append((worker_id, self._incarnations[worker_id], percent))
+        return tuple(news)
+
     def speed(self, worker_id):
         """Return the learned speed; 1.0 where nothing is known."""
         return self._speeds.get(worker_id, 1.0)
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -13,6 +13,7 @@
     ActingClaimed,
     ActingResigned,
     RunsLaunched,
+    SpeedsLearned,
     TasksEnded,
     WorkAccepted,
     WorkCancelled,
@@ -146,6 +147,7 @@
         self._epoch = 0
         self._acting_host = ""
         self._claimed_offset = -1
+        self._speeds = {}
 
     @property
     def jobs(self):
@@ -157,6 +159,11 @@
         """Return `JobProgress` by job id of jobs that have something to run."""
         return self._open
 
+    @property
+    def speeds(self):
+        """Return {worker id: (incarnation, speed in percent)} as last learned."""
+        return self._speeds
+
     @property
     def epoch(self):
         """Return the epoch of the last claim that counts; 0: none yet."""
@@ -205,10 +212,17 @@
             self._claim(offset, record)
         elif isinstance(record, ActingBeat):
             self._beat(offset, record)
+        elif isinstance(record, SpeedsLearned):
+            self._learn(record)
         elif isinstance(record, ActingResigned) and record.epoch == self._epoch:
             self._acting_host = ""
         return ()
 
+    def _learn(self, record):
+        if record.epoch == self._epoch:
+            for worker_id, incarnation, percent in record.speeds:
+                self._speeds[worker_id] = (incarnation, percent)
+
     def _remember_ended(self, job_id):
         """Keep ended jobs for their callers, but not for ever."""
         self._ended.setdefault(job_id)
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -70,6 +70,16 @@
     written_wall_ms: int = 0
 
 
+class SpeedsLearned(NamedTuple):
+    """Speeds that workers have shown, for whoever acts next.
+
+    `speeds` has (worker id, incarnation, speed in percent of the mean).
+    """
+
+    epoch: int
+    speeds: tuple[tuple[str, int, int], ...]
+
+
 class ActingResigned(NamedTuple):
     """The acting scheduler of `epoch` orders nothing any more."""
 
@@ -85,5 +95,6 @@
     ActingClaimed,
     ActingBeat,
     ActingResigned,
+    SpeedsLearned,
     WorkSnapshot,
 )
--- a/tests/test_work_health.py
+++ b/tests/test_work_health.py
@@ -2,8 +2,9 @@
 
 import unittest
 
-from knapweedshed.decisions.speeds import WorkerSpeeds
+from knapweedshed.decisions.speeds import TELL_AGAIN_MS, WorkerSpeeds
 from knapweedshed.models.work import TaskRun
+from knapweedshed.models.work_records import SpeedsLearned
 from tests.work_world import World, make_job, make_step
 
 
@@ -121,5 +122,45 @@
         self.assertLess(speeds.speed("c"), 0.7 * speeds.speed("a"))
 
 
+class SuccessorSpeedsTest(unittest.TestCase):
+    """Speeds outlive the scheduler that learned them, by the log."""
+
+    def _successor(self, told):
+        world = World(workers=2)
+        world.take_role()
+        world.fold(SpeedsLearned(world.epoch, told))
+        world.take_role()
+        return world
+
+    def test_successor_places_urgent_work_by_what_was_learned(self):
+        world = self._successor((("w0", 1, 60), ("w1", 1, 160)))
+        world.accept(make_job(priority=0))
+        world.plan()
+        self.assertEqual(world.started[-1].worker_id, "w1")
+        world = self._successor((("w0", 1, 160), ("w1", 1, 60)))
+        world.accept(make_job(priority=0))
+        world.plan()
+        self.assertEqual(world.started[-1].worker_id, "w0")
+
+    def test_nothing_is_known_of_a_worker_that_started_anew(self):
+        world = self._successor((("w0", 7, 60), ("w1", 1, 160)))
+        speeds = world.dispatcher._speeds
+        self.assertEqual((speeds.speed("w0"), speeds.speed("w1")), (1.0, 1.6))
+
+    def test_what_a_replaced_scheduler_says_is_void(self):
+        world = World(workers=2)
+        world.take_role()
+        world.take_role()
+        world.fold(SpeedsLearned(world.epoch - 1, (("w0", 1, 60),)))
+        self.assertEqual(world.ledger.speeds, {})
+
+    def test_only_news_is_told_and_all_again_before_the_log_drops_it(self):
+        speeds = WorkerSpeeds([("w0", 1, 60)])
+        speeds.know("w0", 1)
+        self.assertEqual(speeds.news(1_000), (("w0", 1, 60),))
+        self.assertEqual(speeds.news(2_000), ())
+        self.assertEqual(speeds.news(2_000 + TELL_AGAIN_MS), (("w0", 1, 60),))
+
+
 if __name__ == "__main__":
     unittest.main()
