Say when the log is away and back, and tell outages from takeovers in explain

Change: hosts write a line when reads of the log begin to fail and when they work again; explain counts how long the log was away from the host that launched. Ruled out: taking the lines on the configuration's feed instead (another connection). Figures: two tests, which fail without the lines' use.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -99,6 +99,7 @@
         self._read_ms = context.clock.now_ms()
         self._heard_ms = self._read_ms
         self._caught_up = False
+        self._log_lost_ms = None
         self._claimed_ms = -1
         self._cores = settings.cores
         self._jitter_ms = claim_delay_ms(self._cores, context.random)
@@ -135,6 +136,10 @@
         """Fold a page; act on what it says of our own records."""
         now_ms = self._now_ms()
         self._read_ms = now_ms
+        if self._log_lost_ms is not None:
+            away_ms = now_ms - self._log_lost_ms
+            self._log_lost_ms = None
+            self._context.logger.info("log reachable again", extra={"away_ms": away_ms})
         if message.caught_up and not self._caught_up:
             self._caught_up = True
             self._heard_ms = now_ms
@@ -157,6 +162,11 @@
     def unreadable(self, message: LogUnreadable):
         """Nothing new is known of the role; its age decides."""
         self._context.metrics.count("work_stream.failures")
+        if self._log_lost_ms is None:
+            self._log_lost_ms = self._now_ms()
+            self._context.logger.warning(
+                "log unreachable", extra={"reason": message.reason}
+            )
 
     @receive.register
     def use_worker_feed(self, message: UseWorkerFeed):
--- a/knapweedshed/decisions/story.py
+++ b/knapweedshed/decisions/story.py
@@ -10,6 +10,7 @@
 
 SHARED_LINES = {"role claimed": "epoch", "configuration in force": "version"}
 ROLE_LINES = ("role claimed", "acting", "not acting any more")
+LOG_LINES = ("log unreachable", "log reachable again")
 LEAST_DELAY_MS = 250  # shorter waits decide nothing: half of the shortest objective
 CODE_OK = 0
 CODE_UNKNOWN = 400
@@ -34,6 +35,7 @@
     CANCELLED = "cancelled by its caller"
     FAILS_EVERYWHERE = "failed on every worker that ran it"
     SICK_WORKER = "lost to a worker that fails what it runs"
+    LOG_AWAY = "held up while the log was away"
     TAKEOVER = "held up by a takeover"
     PREEMPTED = "gave way to other work"
     WAITED = "waited for room"
@@ -66,7 +68,8 @@
     around = [
         line
         for line in aligned
-        if line.message in ROLE_LINES and begin_ms <= line.at_ms <= end_ms
+        if line.message in (*ROLE_LINES, *LOG_LINES)
+        and begin_ms <= line.at_ms <= end_ms
     ]
     around = _once(around)
     hanging = _hangs_of(own, aligned)
@@ -114,10 +117,13 @@
 
 
 def _once(lines):
-    """Keep one line of each claim: every host writes it."""
+    """Keep one line of each claim, which every host writes, and each host's losses."""
     kept = {}
     for line in lines:
-        kept.setdefault((line.message, line.fields.get("epoch")), line)
+        key = (line.message, line.fields.get("epoch"))
+        if line.message in LOG_LINES:
+            key = (line.message, line.process, line.at_ms)
+        kept.setdefault(key, line)
     return list(kept.values())
 
 
@@ -212,6 +218,27 @@
     return delays_ms, details
 
 
+def _log_away_ms(between, from_ms, to_ms):
+    """Return how long the log was away from the host that launched at the end.
+
+    The launch is the last line; its process acted then, as another may have before.
+    """
+    process = between[-1].process if between else ""
+    away_ms, lost_ms = 0.0, None
+    for line in between:
+        if line.process != process:
+            continue
+        if line.message == "log unreachable":
+            lost_ms = line.at_ms
+        elif line.message == "log reachable again":
+            begin_ms = from_ms if lost_ms is None else lost_ms
+            away_ms += line.at_ms - begin_ms
+            lost_ms = None
+    if lost_ms is not None:
+        away_ms += to_ms - lost_ms
+    return away_ms
+
+
 def _why(job_id, told, from_ms, to_ms, workers):
     """Return (cause, detail) of the time between two lines of a request."""
     between = [line for line in told if from_ms < line.at_ms <= to_ms]
@@ -227,6 +254,9 @@
             return Cause.SICK_WORKER, str(fields.get("worker"))
         if line.message == "order not done" and workers:
             return Cause.ORDER_LOST, f"{fields.get('worker')}: {fields.get('reason')}"
+    away_ms = _log_away_ms(between, from_ms, to_ms)
+    if away_ms * 2 >= to_ms - from_ms:
+        return Cause.LOG_AWAY, f"{away_ms:.0f} ms"
     roles = [line for line in between if line.message in ROLE_LINES]
     if roles:
         epoch = roles[-1].fields.get("epoch")
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -114,6 +114,28 @@
         )
         self.assertEqual(self._cause(*lines), Cause.TAKEOVER)
 
+    def test_held_up_while_the_log_was_away(self):
+        lines = (
+            accepted(0),
+            line(300, "log unreachable", reason="HTTP status 503"),
+            line(350, "log unreachable", "h2", reason="HTTP status 503"),
+            line(4_900, "log reachable again", away_ms=4_600),
+            line(4_950, "role claimed", epoch=4, host="h1/1"),
+            launch(5_000),
+            over(9_000),
+        )
+        self.assertEqual(self._cause(*lines), Cause.LOG_AWAY)
+
+    def test_an_outage_at_another_host_does_not_explain_a_launch(self):
+        lines = (
+            accepted(0),
+            line(300, "log unreachable", "h2", reason="HTTP status 503"),
+            line(4_900, "log reachable again", "h2", away_ms=4_600),
+            launch(5_000),
+            over(9_000),
+        )
+        self.assertEqual(self._cause(*lines), Cause.WAITED)
+
     def test_gave_way(self):
         lines = (
             accepted(0),
