--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: install run test lint format measure capacity clean
+.PHONY: install run test lint format measure measure-work capacity clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,12 @@
 measure: install
 	$(BIN)/python scripts/measure.py
 
+DAY = sahel
+SEEDS = 20
+SCALE = 1
+measure-work: install
+	$(BIN)/python scripts/measure_work.py --day=$(DAY) --seeds=$(SEEDS) --scale=$(SCALE)
+
 capacity: install
 	$(BIN)/python scripts/capacity.py
 
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -21,7 +21,6 @@
     TaskRun,
     WorkerLists,
     WorkState,
-    unit_of,
 )
 from knapweedshed.models.work_orders import (
     DONE,
@@ -371,6 +370,3 @@
         yield begin_ms, window.to_ms, window.factor
         from_ms = window.to_ms
     yield from_ms, float("inf"), 1.0
-
-
-__all__ = ["Emulator", "Played", "unit_of"]
