Plan only when a list changed the room; slopes of a host in CAPACITY.md

Change: an answer asks for one where a run is gone or ended, or the worker was not usable before; everything that depends on time alone waits for the tick of 200 ms. Ruled out: no plans on ticks (patience and pauses of sick workers pass with time).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: install run test lint format measure measure-work capacity clean
+.PHONY: install run test lint format measure measure-work capacity capacity-hosts clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -38,5 +38,8 @@
 capacity: install
 	$(BIN)/python scripts/capacity.py
 
+capacity-hosts: install
+	$(BIN)/python scripts/capacity_hosts.py
+
 clean:
 	rm -rf $(VENV) .run
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -205,7 +205,8 @@
         self._do(actions)
         self._do(self._dispatcher.pending_records(now_ms))
         self._hold(message.worker_id)
-        self._plan_soon()
+        if self._dispatcher.room_changed:
+            self._plan_soon()
 
     @receive.register
     def order_answered(self, message: OrderAnswered):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -77,6 +77,12 @@
         self._avoided = {}
         self._paces = PaceNotes(ledger, self._workers, self._runs, self._speeds)
         self._learned_ms = now_ms
+        self._room_changed = True
+
+    @property
+    def room_changed(self):
+        """Whether a worker's list has changed what could be placed since the plan."""
+        return self._room_changed
 
     @property
     def workers(self):
@@ -120,7 +126,10 @@
         belief = self._workers.get(worker_id)
         if belief is None:
             return []
+        was_usable = belief.usable(now_ms)
         gone, ends, strange = belief.take_lists(lists, sent_ms, now_ms)
+        if gone or ends or not was_usable:
+            self._room_changed = True
         orders = []
         self._paces.note(belief, gone, now_ms)
         self._note_ends(belief, ends, now_ms)
@@ -232,6 +241,7 @@
 
     def plan(self, now_ms, wall_ms):
         """Return stops, and the launches to record."""
+        self._room_changed = False
         if self._configuration is None or not self._listed:
             return []
         held_back = {self._unit_of(task) for task in self._end_records.tasks()}
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -42,6 +42,7 @@
     WorkerReport,
 )
 from knapweedshed.results import ResultCode  # noqa: E402
+from scripts.capacity_hosts import MARK as HOSTS_MARK  # noqa: E402
 from scripts.capacity_page import render  # noqa: E402
 
 PORT = 29_000
@@ -326,7 +327,9 @@
     slopes = measure()
     (FOLDER / "measurements" / "capacity.json").write_text(json.dumps(slopes, indent=1))
     page = render(slopes, fit)
-    (FOLDER / "CAPACITY.md").write_text(page)
+    path = FOLDER / "CAPACITY.md"
+    _, mark, hosts = path.read_text().partition(HOSTS_MARK)
+    path.write_text(page + mark + hosts)
     print(page)
 
 
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -299,7 +299,8 @@
         self._do(self._dispatcher.pending_records(self._now_ms))
         _, acked = self._dispatcher.hold_terms(name, self._now_ms)
         self._ends[name] = [end for end in self._ends[name] if end.number > acked]
-        self._plan_soon()
+        if self._dispatcher.room_changed:
+            self._plan_soon()
         self._after(HOLD_MS, self._answer_hold, name, self._holding[name], 0)
 
     def _result(self):
--- a/tests/test_work_crest.py
+++ b/tests/test_work_crest.py
@@ -101,6 +101,30 @@
             self.assertEqual(len(world.stopped), stopped, ran_ms)
 
 
+class PlanningTest(unittest.TestCase):
+    """A list that shows nothing new asks for no plan: most lists are such."""
+
+    def test_only_lists_that_change_the_room_ask_for_a_plan(self):
+        world = World(workers=2)
+        world.accept(make_job())
+        world.take_role()
+        self.assertFalse(world.dispatcher.room_changed)
+        world.hold("w0")
+        world.hold("w1")
+        self.assertFalse(world.dispatcher.room_changed)
+        order = world.started[0]
+        world.end(order.worker_id, order.task, "done")
+        world.hold(order.worker_id)
+        self.assertTrue(world.dispatcher.room_changed)
+
+    def test_a_worker_that_is_heard_again_asks_for_a_plan(self):
+        world = World(workers=1)
+        world.take_role()
+        world.now_ms += 5_000
+        world.hold("w0")
+        self.assertTrue(world.dispatcher.room_changed)
+
+
 class GuaranteeTest(unittest.TestCase):
     """A guarantee covers urgent work in the order of acceptance."""
 
