Count the wait for a fast place by the steady clock too

Change: whichever clock says longer counts, from when the step was first seen to wait. Ruled out: storing a steady time with the job (another host's clock). Figures: the new test fails on the code before, passes now.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -78,6 +78,7 @@
         self._paces = PaceNotes(ledger, self._workers, self._runs, self._speeds)
         self._learned_ms = now_ms
         self._room_changed = True
+        self._waiting_since = {}
 
     @property
     def room_changed(self):
@@ -250,11 +251,15 @@
             for unit in ready_units(self._ledger, wall_ms + self._bounds.early_ms // 2)
             if unit not in self._runs and unit not in held_back
         ]
+        self._waiting_since = {
+            unit[:3]: self._waiting_since.get(unit[:3], now_ms) for unit in waiting
+        }
         if not waiting:
             return []
         plan = self._planner.plan(
             Situation(
                 waiting,
+                self._waiting_since,
                 self._ledger,
                 self._workers,
                 self._runs,
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -25,9 +25,13 @@
 
 
 class Situation(NamedTuple):
-    """What a planning step looks at; nothing of it is changed."""
+    """What a planning step looks at; nothing of it is changed.
+
+    `waiting_since` has when each step was first seen to wait, by the steady clock.
+    """
 
     waiting: list
+    waiting_since: dict
     ledger: object
     workers: dict
     runs: dict
@@ -139,7 +143,8 @@
         needed = waiting.chain_ms / (waiting.due_ms - now_ms)
         if self._start(waiting, self._room.take_now(waiting, spread, needed)):
             return True
-        if now_ms - waiting.since_ms > FAST_PATIENCE_MS:
+        seen_ms = self._at.waiting_since.get(waiting.units[0][:3], now_ms)
+        if now_ms - min(seen_ms, waiting.since_ms) > FAST_PATIENCE_MS:
             return False
         if self._room.reserve(waiting, spread, needed):
             return True
--- a/tests/test_work_crest.py
+++ b/tests/test_work_crest.py
@@ -74,6 +74,18 @@
         self.assertEqual(world.started[-1].worker_id, "w0")
         self.assertEqual(world.started[-1].task.job_id, "c" * 16)
 
+    def test_a_time_of_day_that_was_set_back_does_not_lengthen_the_wait(self):
+        world = slow_and_fast()
+        fill(world, "w1")
+        world.cut.add("w1")
+        job = make_job("c" * 16, (make_step(1, WHOLE),), **URGENT)
+        world.accept(job._replace(accepted_wall_ms=world.now_ms + 2_400))
+        world.plan()
+        world.now_ms += 900
+        world.hold_all()
+        self.assertEqual(world.started[-1].worker_id, "w0")
+        self.assertEqual(world.started[-1].task.job_id, "c" * 16)
+
     def test_slow_worker_that_is_fast_enough_is_taken_at_once(self):
         world = slow_and_fast(slow=0.9)
         fill(world, "w1")
