--- a/tests/test_work_crest.py
+++ b/tests/test_work_crest.py
@@ -75,7 +75,7 @@
         self.assertEqual(world.started[-1].task.job_id, "c" * 16)
 
     def test_a_time_of_day_that_was_set_back_does_not_lengthen_the_wait(self):
-        world = slow_and_fast()
+        world = slow_and_fast(slow=0.2)
         fill(world, "w1")
         world.cut.add("w1")
         job = make_job("c" * 16, (make_step(1, WHOLE),), **URGENT)
