Take signals before a program is built; split the queue's book and the planners

Change: handlers are set first; a stop that comes while a program is built ends it with status 0 before it serves. The scenarios' cluster is up when every process says so. A test with a slow factory fails before (-15), passes after. Ruled out: waiting longer in the scenario. Explain says of one failed run that it failed, and blames a worker only where it failed or hung again.

--- a/examples/cluster.py
+++ b/examples/cluster.py
@@ -68,6 +68,10 @@
             self.kill()
             return -signal.SIGKILL
 
+    def has_started(self):
+        """Return whether the process said that it serves."""
+        return '"message": "started"' in self.output()
+
     def output(self):
         """Return what the process wrote."""
         return self._output.read_text(errors="replace")
@@ -121,6 +125,8 @@
         _wait_for(lambda: get_json(f"http://127.0.0.1:{self.port + 1}/hosts"))
         for process in self.processes:
             process.start()
+        for process in self.processes:
+            _wait_for(lambda p=process: p.has_started())
         for address in self.entry_addresses:
             _wait_for(lambda a=address: self._sees_places(a))
 
--- a/knapweedshed/controllers/queue.py
+++ b/knapweedshed/controllers/queue.py
@@ -30,17 +30,16 @@
 from knapweedshed.decisions.data_centre import DataCentre
 from knapweedshed.decisions.endings import judge
 from knapweedshed.decisions.entries import (
-    Entry,
     status_of,
 )
+from knapweedshed.decisions.job_book import JobBook
 from knapweedshed.decisions.ledger import (
-    KEPT_ENDED,
     IntentWon,
     JobChanged,
     JobClosed,
     JobOpened,
 )
-from knapweedshed.decisions.planning import create_planner
+from knapweedshed.decisions.planners import create_planner
 from knapweedshed.decisions.recovery import Reconciler
 from knapweedshed.models.attempts import Outcome, Phase
 from knapweedshed.models.configuration import Configuration
@@ -89,15 +88,12 @@
         self._inventory = self._data_centre.inventory
         self._planner = create_planner()
         self._configuration = Configuration()
-        self._entries = {}
-        self._claims = {}
+        self._book = JobBook()
         self._acting = False
         self._recovering_since_ms = 0
         self._ready = False
         self._ledger_known = False
-        self._closed = {}
         self._reconciler = Reconciler()
-        self._direct = set()
         self._leaving = False
         self._ticks = 0
         self._plan_due = False
@@ -157,9 +153,9 @@
     def ledger_state(self, message: LedgerState):
         """Take in the ledger's state; recovery goes on from it."""
         self._ledger_known = True
-        self._closed = message.closed
+        self._book.know_closed(message.closed)
         for opened in message.open_jobs.values():
-            self._open(opened)
+            self._book.open(opened, self._now_ms())
         self._try_recover()
 
     @receive.register
@@ -167,13 +163,13 @@
         """Take in the ledger's facts."""
         for fact in message.facts:
             if isinstance(fact, JobOpened):
-                self._open(fact.open_job)
+                self._book.open(fact.open_job, self._now_ms())
             elif isinstance(fact, JobChanged):
                 self._change(fact.open_job)
             elif isinstance(fact, IntentWon):
-                self._intent_won(fact.intent)
+                self._book.intent_won(fact.intent, self._now_ms())
             elif isinstance(fact, JobClosed):
-                self._remember(fact.ended)
+                self._book.remember(fact.ended)
                 self._drop(fact.ended.job_id)
         self._plan_soon()
 
@@ -192,12 +188,11 @@
     @receive.register
     def attempt_started(self, message: AttemptStarted):
         """Note that all members run."""
-        entry = self._entries.get(message.job_id)
+        entry = self._book.entries.get(message.job_id)
         if entry is None:
             return
         now_ms = self._now_ms()
-        entry = entry._replace(started_ms=now_ms)
-        self._entries[message.job_id] = entry
+        entry = self._book.update(entry, started_ms=now_ms)
         self._context.metrics.timing("job.wait", now_ms - entry.since_ms)
         self._tell_status(entry, JobState.RUNNING)
 
@@ -205,9 +200,9 @@
     def attempt_ended(self, message: AttemptEnded):
         """End the job, or let it wait for another attempt."""
         attempt = message.attempt
-        entry = self._entries.get(attempt.job_id)
+        entry = self._book.entries.get(attempt.job_id)
         self._data_centre.ended(entry, attempt, self._now_ms())
-        self._claims.pop(attempt.job_id, None)
+        self._book.claims.pop(attempt.job_id, None)
         self._plan_soon()
         if entry is None:
             return
@@ -238,7 +233,7 @@
         self._ticks += 1
         if self._ticks % RECONCILE_TICKS == 0:
             self._reconcile()
-        if any(not entry.placements for entry in self._entries.values()):
+        if self._book.waiting():
             self._plan_soon()
 
     @receive.register
@@ -251,14 +246,14 @@
         plan = self._planner.plan(
             self._data_centre.situation(
                 started_ms,
-                self._entries.values(),
-                self._claims,
+                self._book.entries.values(),
+                self._book.claims,
                 self._configuration.organisations,
             )
         )
         self._context.metrics.timing("plan", self._now_ms() - started_ms)
         for refusal in plan.refusals:
-            entry = self._entries[refusal.job_id]
+            entry = self._book.entries[refusal.job_id]
             self._end(entry, refusal.result.code, refusal.result.reason)
         for reclaim in plan.reclaims:
             self._reclaim(reclaim)
@@ -275,10 +270,10 @@
         return {
             "acting": self._acting,
             "ready": self._ready,
-            "waiting": [j for j, e in self._entries.items() if not e.placements],
+            "waiting": [entry.job.job_id for entry in self._book.waiting()],
             "running": {
                 j: [p.worker for p in e.placements]
-                for j, e in self._entries.items()
+                for j, e in self._book.entries.items()
                 if e.placements
             },
             "unmet": [unmet._asdict() for unmet in self._unmet],
@@ -293,39 +288,18 @@
             self._plan_due = True
             self._timer.after(PLAN_DELAY_MS, self.actor_ref, _Plan())
 
-    def _open(self, opened):
-        job = opened.job
-        if job.job_id in self._entries or job.job_id in self._closed:
-            return
-        self._entries[job.job_id] = Entry(
-            opened, self._now_ms(), opened.attempt, direct=job.job_id in self._direct
-        )
-
     def _change(self, opened):
-        entry = self._entries.get(opened.job.job_id)
-        if entry is None:
-            return
-        number = entry.number if entry.placements else max(entry.number, opened.attempt)
-        entry = entry._replace(opened=opened, number=number)
-        self._entries[opened.job.job_id] = entry
-        if opened.cancelled:
+        entry = self._book.change(opened)
+        if entry is not None and opened.cancelled:
             self._cancel(entry)
 
-    def _intent_won(self, intent):
-        entry = self._entries.get(intent.job_id)
-        if entry is not None:
-            self._entries[intent.job_id] = entry._replace(
-                opened=entry.opened._replace(intent=intent), intent_ms=self._now_ms()
-            )
-
     def _drop(self, job_id):
-        entry = self._entries.pop(job_id, None)
-        self._claims.pop(job_id, None)
+        entry = self._book.drop(job_id)
         if entry is not None and entry.placements and self._acting:
             tell(self._attempts, StopAttempt(job_id, "ended elsewhere", False))
 
     def _cancel_asked(self, job_id):
-        entry = self._entries.get(job_id)
+        entry = self._book.entries.get(job_id)
         if entry is None or not self._acting:
             return
         tell(self._ledger, RecordFact(CancelAsked(job_id)))
@@ -342,38 +316,21 @@
     def _submit_direct(self, job, connection):
         taken = self._acting and self._ready and job.idempotent
         reason = "" if taken else "this scheduler can't take it now"
-        if taken and job.job_id not in self._entries:
-            self._direct.add(job.job_id)
+        if taken and job.job_id not in self._book.entries:
+            self._book.direct.add(job.job_id)
             tell(self._ledger, TakeDirect(job, connection))
         answer = DirectAnswer(job.job_id, taken, reason)
         tell(connection, SendToPeer(answer))
 
     def _expire(self):
         wall_ms = self._context.clock.wall_ms()
-        for entry in list(self._entries.values()):
-            if entry.placements:
-                continue
+        for entry in self._book.waiting():
             if wall_ms > entry.job.deadline_wall_ms:
                 self._end(entry, ResultCode.EXPIRED, "its deadline came before a place")
             elif entry.opened.cancelled:
                 self._cancel(entry)
-        self._end_over_limit()
-
-    def _end_over_limit(self):
-        """End the newest jobs of an organisation that has too many waiting."""
-        waiting = {}
-        for entry in self._entries.values():
-            if not entry.placements:
-                waiting.setdefault(entry.job.organisation, []).append(entry)
-        for name, entries in waiting.items():
-            organisation = self._configuration.organisation(name)
-            if organisation is None or len(entries) <= organisation.max_waiting:
-                continue
-            entries.sort(key=lambda entry: entry.since_ms)
-            reason = f"{name!r} has more than {organisation.max_waiting} waiting"
-            for entry in entries[organisation.max_waiting :]:
-                if entry.opened.intent is None and not entry.retries:
-                    self._end(entry, ResultCode.LIMIT_EXCEEDED, reason)
+        for entry, reason in self._book.over_limit(self._configuration):
+            self._end(entry, ResultCode.LIMIT_EXCEEDED, reason)
 
     def _try_recover(self):
         """Take over what runs, once the ledger and all listed workers were heard."""
@@ -389,14 +346,14 @@
         self._context.logger.info(
             "recovered",
             extra={
-                "jobs": len(self._entries),
+                "jobs": len(self._book.entries),
                 "unheard": self._inventory.unheard(),
                 "ledger_known": self._ledger_known,
             },
         )
         if self._ledger_known:
             self._take_up(self._reconciler.recover_all)
-        for entry in list(self._entries.values()):
+        for entry in list(self._book.entries.values()):
             if entry.opened.cancelled:
                 self._cancel(entry)
         self._plan_soon()
@@ -408,7 +365,10 @@
     def _take_up(self, look):
         """Go on with, or clear, what belongs to no attempt of ours."""
         recovered = look(
-            self._entries, self._inventory.reports, self._closed, self._now_ms()
+            self._book.entries,
+            self._inventory.reports,
+            self._book.closed,
+            self._now_ms(),
         )
         for attempt in (*recovered.adopted, *recovered.to_clear):
             self._adopt_attempt(attempt)
@@ -416,42 +376,41 @@
             tell(self._workers, WorkerCommand("free", lease_id, "", 0))
 
     def _adopt_attempt(self, attempt):
-        entry = self._entries[attempt.job_id]
+        entry = self._book.entries[attempt.job_id]
         placements = tuple(member.placement for member in attempt.members)
         number = max(entry.number, attempt.number)
-        self._entries[attempt.job_id] = entry._replace(
-            placements=placements, number=number, started_ms=self._now_ms()
+        entry = self._book.update(
+            entry, placements=placements, number=number, started_ms=self._now_ms()
         )
         self._inventory.give(attempt.job_id, placements)
         tell(self._attempts, AttemptAdopted(attempt, 0))
         if attempt.phase == Phase.RUNNING:
-            self._tell_status(self._entries[attempt.job_id], JobState.RUNNING)
+            self._tell_status(entry, JobState.RUNNING)
 
     def _stand_down(self):
-        for job_id, entry in list(self._entries.items()):
+        for job_id in self._book.entries:
             self._inventory.take_back(job_id)
-            self._entries[job_id] = entry._replace(placements=(), stopping=False)
-        self._claims = {}
+        self._book.stand_down()
 
     def _launch(self, launch):
-        entry = self._entries[launch.job_id]
-        self._claims.pop(launch.job_id, None)
-        self._entries[launch.job_id] = entry._replace(
-            placements=launch.placements, started_ms=0, borrowed=launch.borrowed
+        entry = self._book.entries[launch.job_id]
+        self._book.claims.pop(launch.job_id, None)
+        entry = self._book.update(
+            entry, placements=launch.placements, started_ms=0, borrowed=launch.borrowed
         )
         self._data_centre.launched(launch.job_id, launch.placements)
         number = entry.number if entry.job.idempotent else entry.opened.attempt
         tell(self._attempts, StartAttempt(entry.opened, number, launch))
-        self._tell_status(self._entries[launch.job_id], JobState.STARTING)
+        self._tell_status(entry, JobState.STARTING)
 
     def _reclaim(self, reclaim):
-        self._claims[reclaim.job_id] = reclaim.placements
+        self._book.claims[reclaim.job_id] = reclaim.placements
         self._context.metrics.count("reclaims", len(reclaim.victims))
         for job_id in reclaim.victims:
-            entry = self._entries[job_id]
+            entry = self._book.entries[job_id]
             if entry.stopping:
                 continue
-            self._entries[job_id] = entry._replace(stopping=True)
+            self._book.update(entry, stopping=True)
             reason = f"reclaimed for {reclaim.job_id}"
             stop = StopAttempt(job_id, reason, entry.job.can_checkpoint)
             tell(self._attempts, stop)
@@ -473,24 +432,22 @@
         if attempt.goal in (Outcome.STOPPED,):
             delay_ms = 0
         delay_ms += self._context.random.randrange(RETRY_DELAY_MS) if delay_ms else 0
-        self._entries[entry.job.job_id] = entry._replace(
+        entry = self._book.update(
+            entry,
             placements=(),
             stopping=False,
             number=attempt.number + 1,
             retries=entry.retries + 1,
             not_before_ms=self._now_ms() + delay_ms,
         )
-        self._tell_status(self._entries[entry.job.job_id], JobState.WAITING)
+        self._tell_status(entry, JobState.WAITING)
 
     def _end(self, entry, code, reason, answer=None, run_ms=0):
         job = entry.job
         wait_ms = max(0, (entry.started_ms or self._now_ms()) - entry.since_ms)
         workers = tuple(place.worker for place in entry.placements)
         ended = JobEnded(job.job_id, code, reason, answer, wait_ms, run_ms, workers)
-        self._entries.pop(job.job_id, None)
-        self._claims.pop(job.job_id, None)
-        self._direct.discard(job.job_id)
-        self._remember(ended)
+        self._book.close(ended)
         self._context.metrics.count(f"job.{code.name.lower()}")
         self._context.logger.info(
             "job ended",
@@ -508,10 +465,5 @@
             )
             tell(self._watches, StatusChanged(status))
 
-    def _remember(self, ended):
-        self._closed[ended.job_id] = ended
-        if len(self._closed) > KEPT_ENDED:
-            del self._closed[next(iter(self._closed))]
-
     def _tell_status(self, entry, state):
         tell(self._watches, StatusChanged(status_of(entry, state)))
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -1,6 +1,4 @@
-"""One planning step of a data centre: what starts, what is stopped, what can't run."""
-
-from abc import ABC, abstractmethod
+"""The planner of a data centre: lends what is free, reclaims it for its owners."""
 
 from knapweedshed.decisions import reservation as reservations
 from knapweedshed.decisions.feasibility import impossible
@@ -10,11 +8,11 @@
     split_running,
 )
 from knapweedshed.decisions.placement import Board, create_placement, mask
+from knapweedshed.decisions.planner import Planner, refusal
 from knapweedshed.decisions.queueing import create_queueing
 from knapweedshed.decisions.reclaim import choose_victims
 from knapweedshed.models.configuration import Urgency
-from knapweedshed.models.planning import Launch, Plan, Reclaim, Refusal, Unmet
-from knapweedshed.results import Result, ResultCode
+from knapweedshed.models.planning import Launch, Plan, Reclaim, Unmet
 
 LONGEST_SCAN = 2_000
 MOST_RESERVATIONS = 2
@@ -23,49 +21,6 @@
 LARGEST_COST = 1 << 60
 
 
-class Planner(ABC):
-    """Turns a `Situation` into a `Plan`; keeps nothing between calls."""
-
-    @abstractmethod
-    def plan(self, situation):
-        """Return the `Plan` for this moment."""
-
-
-class PlainPlanner(Planner):
-    """Baseline: an order and a placement, without guarantees.
-
-    With `skip`, work that doesn't fit is passed over; without, it blocks the rest.
-    """
-
-    def __init__(self, queueing, placement, skip):
-        self._queueing = queueing
-        self._placement = placement
-        self._skip = skip
-
-    def plan(self, situation):
-        """Launch in order what fits."""
-        board = Board(situation.workers)
-        launches = []
-        refusals = []
-        failed = set()
-        for job in self._queueing.order(situation.waiting, situation.now_ms, ()):
-            reason = impossible(job.shape, situation.known)
-            if reason:
-                refusals.append(_refusal(job, reason))
-                continue
-            if job.shape in failed:
-                continue
-            places = self._placement.place(job.shape, board.free, board, board.free)
-            if places is not None:
-                board.take(places)
-                launches.append(Launch(job.job_id, places, False))
-                continue
-            if not self._skip:
-                break
-            failed.add(job.shape)
-        return Plan(tuple(launches), (), tuple(refusals))
-
-
 class GuaranteePlanner(Planner):
     """Lends what is free, and reclaims it for the guaranteed shapes of its owners.
 
@@ -213,7 +168,7 @@
     def _try(self, job):
         reason = self._never(job)
         if reason:
-            self._refusals.append(_refusal(job, reason))
+            self._refusals.append(refusal(job, reason))
             return
         claim = self._claims.get(job.job_id)
         if claim is not None:
@@ -384,26 +339,3 @@
         for place in placements:
             bits = self._withheld.get(place.worker, 0) | mask(place)
             self._withheld[place.worker] = bits
-
-
-def create_planner(name="guarantee"):
-    """Return the planner called `name`."""
-    if name == "guarantee":
-        return GuaranteePlanner()
-    first_fit = create_placement("first-fit")
-    if name == "fifo":
-        return PlainPlanner(create_queueing("fifo"), first_fit, skip=False)
-    if name == "fifo-skip":
-        return PlainPlanner(create_queueing("fifo"), first_fit, skip=True)
-    if name == "strict-priority":
-        return GuaranteePlanner(
-            create_queueing("strict-priority"),
-            first_fit,
-            lending=False,
-            reserving=False,
-        )
-    raise ValueError(f"unknown planner {name!r}")
-
-
-def _refusal(job, reason):
-    return Refusal(job.job_id, Result(ResultCode.SHAPE_IMPOSSIBLE, reason))
--- a/knapweedshed/decisions/story.py
+++ b/knapweedshed/decisions/story.py
@@ -34,7 +34,8 @@
     OUTCOME_UNKNOWN = "the log did not say whether it took it"
     CANCELLED = "cancelled by its caller"
     FAILS_EVERYWHERE = "failed on every worker that ran it"
-    SICK_WORKER = "lost to a worker that fails what it runs"
+    SICK_WORKER = "lost to a worker that fails or hangs"
+    RUN_FAILED = "a run of it failed and it ran again"
     LOG_AWAY = "held up while the log was away"
     TAKEOVER = "held up by a takeover"
     PREEMPTED = "gave way to other work"
@@ -186,9 +187,9 @@
         if line.message == "run ended" and line.fields.get("how") == FAILED
     ]
     named = ", ".join(str(worker) for worker in workers)
-    if len(set(workers)) > 1:
-        return Cause.FAILS_EVERYWHERE, named
-    return Cause.SICK_WORKER, named
+    if len(workers) > 1 and len(set(workers)) == 1:
+        return Cause.SICK_WORKER, named
+    return Cause.FAILS_EVERYWHERE, named
 
 
 def _delays(job_id, told, calls, launches):
@@ -248,7 +249,7 @@
             return Cause.PREEMPTED, f"to {fields.get('job')}"
         if line.message == "run ended" and fields.get("worker") in workers:
             lapsed = fields.get("how") == "lapsed"
-            cause = Cause.LAPSED if lapsed else Cause.SICK_WORKER
+            cause = Cause.LAPSED if lapsed else Cause.RUN_FAILED
             return cause, str(fields.get("worker"))
         if line.message == "worker hangs" and fields.get("worker") in workers:
             return Cause.SICK_WORKER, str(fields.get("worker"))
--- a/knapweedshed/programs/daemon.py
+++ b/knapweedshed/programs/daemon.py
@@ -55,6 +55,8 @@
         flags.update(given)
 
     fire.Fire(read_flags, command=arguments, name=program)
+    signals = Signals()
+    signals.start()
     try:
         settings = load_settings(specification, flags)
         daemon, logger = create(program, settings)
@@ -62,7 +64,7 @@
         for fault in error.faults:
             print(f"{program}: {fault}", file=sys.stderr)
         return ExitStatus.USAGE
-    return _serve(daemon, logger)
+    return _serve(daemon, logger, signals)
 
 
 def build_from(daemon_class):
@@ -84,31 +86,14 @@
         raise SettingsError([f"--listen {settings.listen}: {error}"]) from error
 
 
-def _serve(daemon, logger):
-    stopping = threading.Event()
-    wake = threading.Event()
-    dump_asked = threading.Event()
-
-    def on_stop(signum, frame):
-        if stopping.is_set():
-            os._exit(ExitStatus.INTERRUPTED)
-        stopping.set()
-        wake.set()
-
-    def on_dump(signum, frame):
-        dump_asked.set()
-        wake.set()
-
-    signal.signal(signal.SIGTERM, on_stop)
-    signal.signal(signal.SIGINT, on_stop)
-    signal.signal(signal.SIGUSR1, on_dump)
+def _serve(daemon, logger, signals):
+    if signals.stopping:
+        logger.info("stopped before the start")
+        return ExitStatus.SUCCESS
     daemon.start()
     logger.info("started")
-    while not stopping.is_set():
-        wake.wait()
-        wake.clear()
-        if dump_asked.is_set():
-            dump_asked.clear()
+    while not signals.stopping:
+        if signals.wait_for_dump():
             print(text.dumps(daemon.dump()), flush=True)
     logger.info("stopping")
     daemon.close()
@@ -116,6 +101,44 @@
     return ExitStatus.SUCCESS
 
 
+class Signals:
+    """What this process was asked for by signals, from before it is built."""
+
+    def __init__(self):
+        self._stopping = threading.Event()
+        self._wake = threading.Event()
+        self._dump_asked = threading.Event()
+
+    @property
+    def stopping(self):
+        """Whether the process was asked to stop."""
+        return self._stopping.is_set()
+
+    def start(self):
+        """Take signals from now on."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGUSR1, self._on_dump)
+
+    def wait_for_dump(self):
+        """Wait for a signal; return whether it asked for a dump."""
+        self._wake.wait()
+        self._wake.clear()
+        asked = self._dump_asked.is_set()
+        self._dump_asked.clear()
+        return asked
+
+    def _on_stop(self, signum, frame):
+        if self._stopping.is_set():
+            os._exit(ExitStatus.INTERRUPTED)
+        self._stopping.set()
+        self._wake.set()
+
+    def _on_dump(self, signum, frame):
+        self._dump_asked.set()
+        self._wake.set()
+
+
 def _help_text(program, summary, specification):
     return "\n".join(
         [
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -21,7 +21,7 @@
 from knapweedshed.decisions import configuration as folds  # noqa: E402
 from knapweedshed.decisions.cells import full_mask  # noqa: E402
 from knapweedshed.decisions.ledger import Ledger  # noqa: E402
-from knapweedshed.decisions.planning import create_planner  # noqa: E402
+from knapweedshed.decisions.planners import create_planner  # noqa: E402
 from knapweedshed.links.entry_client import EntryClient, Work  # noqa: E402
 from knapweedshed.models.configuration import Organisation, Urgency  # noqa: E402
 from knapweedshed.models.jobs import InputReference, Job  # noqa: E402
--- a/scripts/measure_jobs.py
+++ b/scripts/measure_jobs.py
@@ -7,7 +7,7 @@
 from knapweedshed.decisions.cells import blocks, mask_of
 from knapweedshed.decisions.guarantees import consume, split_running
 from knapweedshed.decisions.health import Health
-from knapweedshed.decisions.planning import create_planner
+from knapweedshed.decisions.planners import create_planner
 from knapweedshed.decisions.prediction import create_prediction
 from knapweedshed.models.configuration import Organisation, Urgency
 from knapweedshed.models.planning import (
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -83,6 +84,32 @@
         self.assertIn("--waiting-threads", done.stdout)
 
 
+SLOW_DAEMON = """
+import sys, time
+from knapweedshed.programs.daemon import run_daemon
+
+def create(program, settings):
+    print("building", flush=True)
+    time.sleep(1)
+    return None, __import__("logging").getLogger()
+
+sys.exit(run_daemon("slow", "starts slowly", (), create, []))
+"""
+
+
+class EarlySignalTests(unittest.TestCase):
+    """A signal to a process that is not up yet."""
+
+    def test_a_stop_before_the_start_is_a_graceful_stop(self):
+        process = subprocess.Popen(
+            [sys.executable, "-c", SLOW_DAEMON], stdout=subprocess.PIPE
+        )
+        with process.stdout:
+            process.stdout.readline()
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(timeout=20), ExitStatus.SUCCESS)
+
+
 class CommandLineTests(unittest.TestCase):
     """The client against a small cluster, and the front end's bad input."""
 
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -149,6 +149,13 @@
         self.assertEqual(story.delays_ms, {Cause.PREEMPTED: 4_990})
         self.assertIn(OTHER, story.detail)
 
+    def test_one_run_that_failed_says_little_of_its_worker(self):
+        failed = line(900, "run ended", job=JOB, worker="w1", how="failed", run=1)
+        lines = (accepted(0), launch(10), failed, launch(950, 2, "w2"), over(9_000))
+        story = explain(JOB, lines)
+        self.assertEqual(story.cause, Cause.RUN_FAILED)
+        self.assertEqual(story.detail, "w1")
+
     def test_worker_that_hung(self):
         lines = (
             accepted(0),
