Keep a host's view of the role in one pure class

Change: decisions/leadership.py has Role, with tests of its own; the controller asks it. Ruled out: splitting by message kinds, which would part one state over two actors.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -37,11 +37,7 @@
 from knapweedshed.decisions.leadership import (
     BEAT_MS,
     TERM_MS,
-    Standing,
-    acts,
-    claim_delay_ms,
-    may_order,
-    should_claim,
+    Role,
 )
 from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.decisions.unit_runs import Bounds
@@ -96,19 +92,14 @@
         self._dispatcher = None
         self._links = WorkerLinks(context, timer, platform, self.actor_ref)
         self._appends = {}
-        self._read_ms = context.clock.now_ms()
-        self._heard_ms = self._read_ms
-        self._caught_up = False
+        now_ms = context.clock.now_ms()
+        self._role = Role(self._host, settings.cores, context.random, now_ms)
         self._log_lost_ms = None
-        self._claimed_ms = -1
-        self._cores = settings.cores
-        self._jitter_ms = claim_delay_ms(self._cores, context.random)
         self._beat_ms = 0
         self._speeds_told_ms = 0
         self._log_pause_until_ms = 0
         self._leaving = None
         self._term_epoch = 0
-        self._fenced_epoch = 0
         self._snapshots = SnapshotSchedule(settings.log_keep_ms)
         self._log = DecisionLog(context)
         self._planning = False
@@ -135,14 +126,11 @@
     def records(self, message: RecordsRead):
         """Fold a page; act on what it says of our own records."""
         now_ms = self._now_ms()
-        self._read_ms = now_ms
+        self._role.read(now_ms, message.caught_up)
         if self._log_lost_ms is not None:
             away_ms = now_ms - self._log_lost_ms
             self._log_lost_ms = None
             self._context.logger.info("log reachable again", extra={"away_ms": away_ms})
-        if message.caught_up and not self._caught_up:
-            self._caught_up = True
-            self._heard_ms = now_ms
         changed = []
         ours = []
         for offset, record_id, record in decode_records(self._context, message):
@@ -246,10 +234,7 @@
     def tick(self, message: Tick):
         """Claim, beat, let leases lapse, repeat what had no answer."""
         now_ms = self._now_ms()
-        standing = self._standing()
-        if should_claim(standing, now_ms, self._jitter_ms):
-            self._claimed_ms = now_ms
-            self._jitter_ms = claim_delay_ms(self._cores, self._context.random)
+        if self._role.claim(self._ledger, now_ms):
             self._append(ActingClaimed(self._ledger.epoch + 1, self._host))
         if self._dispatcher is None:
             return
@@ -278,6 +263,7 @@
     def leave(self, message: Leave):
         """Resign, so that another host claims at once."""
         self._leaving = message.reply
+        self._role.leave()
         if self._dispatcher is None:
             message.reply.set(True)
             return
@@ -302,7 +288,7 @@
         epoch = self._ledger.epoch
         changed = self._ledger.fold(offset, record)
         if getattr(record, "epoch", -1) == self._ledger.epoch:
-            self._heard_ms = self._now_ms()
+            self._role.heard(self._now_ms())
         if self._ledger.epoch != epoch:
             self._context.logger.info(
                 "role claimed",
@@ -321,7 +307,7 @@
 
     def _check_role(self):
         """Begin or end a term, as the log says."""
-        acting = acts(self._standing()) and self._fenced_epoch < self._ledger.epoch
+        acting = self._role.should_act(self._ledger)
         current = self._dispatcher is not None
         if current and (not acting or self._term_epoch != self._ledger.epoch):
             self._end_term("the log names another")
@@ -360,14 +346,14 @@
 
     def _fenced(self):
         """A worker has seen a higher fence: another acts, as the log will say."""
-        self._fenced_epoch = self._ledger.epoch
+        self._role.fenced(self._ledger.epoch)
         self._end_term("a worker has seen a higher fence")
 
     def _hold(self, worker_id):
         if not self._is_held(worker_id):
             return
         now_ms = self._now_ms()
-        if not may_order(self._standing(), now_ms):
+        if not self._role.may_order(self._ledger, now_ms):
             self._links.hold_later(worker_id, self._ledger.epoch, 0, 0)
             return
         deadline_ms, ends_upto = self._dispatcher.hold_terms(worker_id, now_ms)
@@ -410,7 +396,7 @@
                 self._log.run_lost(action)
             elif isinstance(action, WorkerHangs):
                 self._log.hang(action)
-            elif may_order(self._standing(), self._now_ms()):
+            elif self._role.may_order(self._ledger, self._now_ms()):
                 self._links.order(Order(action, self._ledger.epoch))
             else:
                 late = OrderAnswered(action, self._ledger.epoch, NOT_GIVEN)
@@ -442,21 +428,5 @@
             self._planning = True
             self._timer.after(self._plan_pause_ms, self.actor_ref, PlanNow())
 
-    def _standing(self):
-        acting_host = self._ledger.acting_host
-        if acting_host.split("/")[0] == self._host.split("/")[0]:
-            if acting_host != self._host:
-                acting_host = ""
-        return Standing(
-            self._host,
-            self._ledger.epoch,
-            acting_host,
-            self._caught_up,
-            self._heard_ms,
-            self._read_ms,
-            self._claimed_ms,
-            self._leaving is not None,
-        )
-
     def _now_ms(self):
         return self._context.clock.now_ms()
--- a/knapweedshed/decisions/leadership.py
+++ b/knapweedshed/decisions/leadership.py
@@ -32,6 +32,77 @@
     leaving: bool = False
 
 
+class Role:
+    """What one host knows of the scheduler's role, beside the fold of the log.
+
+    `host` is its name and incarnation, parted by a slash.
+    """
+
+    def __init__(self, host, cores, random, now_ms):
+        self._host = host
+        self._cores = cores
+        self._random = random
+        self._heard_ms = now_ms
+        self._read_ms = now_ms
+        self._caught_up = False
+        self._claimed_ms = -1
+        self._delay_ms = claim_delay_ms(cores, random)
+        self._leaving = False
+        self._fenced_epoch = 0
+
+    def read(self, now_ms, caught_up):
+        """The log answered a read; the first whole read begins the silence anew."""
+        self._read_ms = now_ms
+        if caught_up and not self._caught_up:
+            self._caught_up = True
+            self._heard_ms = now_ms
+
+    def heard(self, now_ms):
+        """A record of the acting scheduler was read."""
+        self._heard_ms = now_ms
+
+    def leave(self):
+        """This host stops: it claims no more."""
+        self._leaving = True
+
+    def fenced(self, epoch):
+        """A worker has seen a higher fence than `epoch`."""
+        self._fenced_epoch = epoch
+
+    def should_act(self, ledger):
+        """Return whether the log says that this host acts, and no worker denies it."""
+        return acts(self._standing(ledger)) and self._fenced_epoch < ledger.epoch
+
+    def may_order(self, ledger, now_ms):
+        """Return whether orders may still be given."""
+        return may_order(self._standing(ledger), now_ms)
+
+    def claim(self, ledger, now_ms):
+        """Return whether to claim the next epoch now; count it as claimed."""
+        if not should_claim(self._standing(ledger), now_ms, self._delay_ms):
+            return False
+        self._claimed_ms = now_ms
+        self._delay_ms = claim_delay_ms(self._cores, self._random)
+        return True
+
+    def _standing(self, ledger):
+        return Standing(
+            self._host,
+            ledger.epoch,
+            self._known_acting(ledger.acting_host),
+            self._caught_up,
+            self._heard_ms,
+            self._read_ms,
+            self._claimed_ms,
+            self._leaving,
+        )
+
+    def _known_acting(self, acting_host):
+        """Return the acting host, or "" where it is an earlier life of this one."""
+        same_name = acting_host.split("/")[0] == self._host.split("/")[0]
+        return "" if same_name and acting_host != self._host else acting_host
+
+
 def acts(standing):
     """Return whether the log says that this host acts."""
     return standing.epoch > 0 and standing.acting_host == standing.host
--- a/tests/test_work_roles.py
+++ b/tests/test_work_roles.py
@@ -15,11 +15,14 @@
     JITTER_MS,
     SILENT_MS,
     TERM_MS,
+    Role,
     Standing,
     claim_delay_ms,
     may_order,
     should_claim,
 )
+from knapweedshed.decisions.work_ledger import WorkLedger
+from knapweedshed.models.work_records import ActingClaimed
 
 CALM = Standing("me", 3, "other", True, heard_ms=10_000, read_ms=10_000)
 
@@ -65,6 +68,44 @@
         self.assertFalse(may_order(acting, 10_000 + TERM_MS))
 
 
+class RoleTest(unittest.TestCase):
+    """One host's view of the role, with a fold of the log."""
+
+    def _role(self, host="a/2", acting="b/1"):
+        ledger = WorkLedger()
+        ledger.fold(0, ActingClaimed(1, acting))
+        role = Role(host, 1.0, Random(1), 0)
+        role.read(1_000, True)
+        return role, ledger
+
+    def test_silence_is_counted_from_the_last_record_heard(self):
+        role, ledger = self._role()
+        role.heard(2_000)
+        role.read(3_500, True)
+        self.assertFalse(role.claim(ledger, 3_500))
+        role.read(2_000 + SILENT_MS + JITTER_MS, True)
+        now_ms = 2_000 + SILENT_MS + JITTER_MS
+        self.assertTrue(role.claim(ledger, now_ms))
+        self.assertFalse(role.claim(ledger, now_ms + 1))
+
+    def test_an_earlier_life_of_this_host_is_not_waited_for(self):
+        role, ledger = self._role(acting="a/1")
+        self.assertTrue(role.claim(ledger, 1_000 + JITTER_MS))
+
+    def test_a_host_that_was_fenced_does_not_act_on_that_epoch(self):
+        role, ledger = self._role(acting="a/2")
+        self.assertTrue(role.should_act(ledger))
+        role.fenced(1)
+        self.assertFalse(role.should_act(ledger))
+        ledger.fold(1, ActingClaimed(2, "a/2"))
+        self.assertTrue(role.should_act(ledger))
+
+    def test_a_host_that_leaves_claims_nothing(self):
+        role, ledger = self._role(acting="a/1")
+        role.leave()
+        self.assertFalse(role.claim(ledger, 1_000 + JITTER_MS))
+
+
 class AcceptanceTest(unittest.TestCase):
     """A refusal must be true."""
 
