Let mates of a task that avoids a worker use it

Cause: found on reading: single tasks of a step were placed by the list of workers that the step's first waiting task avoids, since steps are placed together. Change: plain tasks are placed by their own; the test fails before, passes after. Ruled out: placing each by itself again, which the planning time forbids.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -101,10 +101,11 @@
             for unit in plain:
                 self._place_unit(waiting._replace(units=(unit,)), False)
         elif plain:
-            self._place_tasks(waiting, plain)
+            self._place_tasks(waiting._replace(units=plain))
 
-    def _place_tasks(self, waiting, units):
+    def _place_tasks(self, waiting):
         """Place as many single tasks of a step as there is room for."""
+        units = waiting.units
         likeness = (waiting.step, waiting.count, False)
         if likeness in self._full:
             return
--- a/tests/test_work_crest.py
+++ b/tests/test_work_crest.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from knapweedshed.models.work import Resources
+from knapweedshed.models.work import Resources, Unit
 from tests.work_world import World, make_job, make_step
 
 WHOLE = Resources(8_000, 10_000, 8)
@@ -113,6 +113,21 @@
             self.assertEqual(len(world.stopped), stopped, ran_ms)
 
 
+class AvoidedTest(unittest.TestCase):
+    """A task that failed on a worker runs elsewhere; its mates may run there."""
+
+    def test_mates_of_a_task_that_avoids_a_worker_may_use_it(self):
+        world = World(workers=2)
+        world.take_role()
+        world.dispatcher.workers["w1"].leave_out(world.now_ms + 5_000)
+        first = Unit("a" * 16, 0, 0, 0)
+        world.dispatcher._avoided = {first: {"w0": world.now_ms + 3_000}}
+        world.accept(make_job(steps=(make_step(2),)))
+        world.plan()
+        started = [(order.task.index, order.worker_id) for order in world.started]
+        self.assertEqual(started, [(1, "w0")])
+
+
 class PlanningTest(unittest.TestCase):
     """A list that shows nothing new asks for no plan: most lists are such."""
 
