--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -234,7 +234,7 @@
 
     def speeds_to_tell(self, now_ms):
         """Return what whoever acts next should know of speeds."""
-        return self._speeds.news(now_ms)
+        return self._speeds.news(now_ms, self._workers)
 
     def pending_records(self, now_ms):
         """Return a record of the ends that were not sent to the log yet, or none."""
--- a/knapweedshed/decisions/speeds.py
+++ b/knapweedshed/decisions/speeds.py
@@ -79,11 +79,14 @@
             }
         self._incarnations[worker_id] = incarnation
 
-    def news(self, now_ms):
-        """Return (worker id, incarnation, percent) of what should be told again."""
+    def news(self, now_ms, worker_ids):
+        """Return (worker id, incarnation, percent) of what should be told again.
+
+        Only of `worker_ids`: what has left is not told for ever.
+        """
         news = []
         for worker_id, speed in self._speeds.items():
-            if worker_id not in self._incarnations:
+            if worker_id not in worker_ids:
                 continue
             told, told_ms = self._told.get(worker_id, (0.0, 0))
             if now_ms - told_ms < TELL_AGAIN_MS:
--- a/tests/test_work_health.py
+++ b/tests/test_work_health.py
@@ -157,9 +157,10 @@
     def test_only_news_is_told_and_all_again_before_the_log_drops_it(self):
         speeds = WorkerSpeeds([("w0", 1, 60)])
         speeds.know("w0", 1)
-        self.assertEqual(speeds.news(1_000), (("w0", 1, 60),))
-        self.assertEqual(speeds.news(2_000), ())
-        self.assertEqual(speeds.news(2_000 + TELL_AGAIN_MS), (("w0", 1, 60),))
+        self.assertEqual(speeds.news(500, {"w1"}), ())
+        self.assertEqual(speeds.news(1_000, {"w0"}), (("w0", 1, 60),))
+        self.assertEqual(speeds.news(2_000, {"w0"}), ())
+        self.assertEqual(speeds.news(2_000 + TELL_AGAIN_MS, {"w0"}), (("w0", 1, 60),))
 
 
 if __name__ == "__main__":
