--- a/scripts/work_day.py
+++ b/scripts/work_day.py
@@ -177,7 +177,7 @@
     wrong = _spread(chance, kind.estimate_spread)
     steps, work_ms, chain_ms = [], {}, 0.0
     accelerators = chance.choice(kind.accelerators)
-    for index in range(max(1, round(chance.expovariate(1 / kind.steps)))):
+    for index in range(_step_count(kind, chance)):
         count = max(1, round(kind.tasks * _spread(chance, WIDTH_SPREAD)))
         count = min(count, 32 // accelerators if kind.gang else int(6 * kind.tasks))
         step = Step(
@@ -213,6 +213,12 @@
     return Arrival(at_ms, kind, job, work_ms, chain_ms, worth)
 
 
+def _step_count(kind, chance):
+    """Return a whole number of mean `kind.steps`, 1 at least."""
+    whole = int(kind.steps)
+    return whole + (chance.random() < kind.steps - whole)
+
+
 def _spread(chance, sigma):
     """Return a factor of mean 1, lognormal."""
     return math.exp(chance.gauss(-sigma * sigma / 2, sigma))
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -21,6 +21,7 @@
     TaskRun,
     WorkerLists,
     WorkState,
+    unit_of,
 )
 from knapweedshed.models.work_orders import (
     DONE,
@@ -51,7 +52,12 @@
 
 
 class Played(NamedTuple):
-    """What came of a day; shares are of the worth owed."""
+    """What came of a day; shares are of the worth owed.
+
+    `broken` names what no day may have: a task that runs twice at a time or again
+    after its end was recorded, and workers over their capacity. `starved` counts
+    open jobs of which nothing runs when the day ends.
+    """
 
     credit: float
     by_kind: dict
@@ -60,6 +66,8 @@
     unfinished: int
     plan_ms: tuple[float, ...]
     runs: int
+    broken: tuple[str, ...] = ()
+    starved: int = 0
 
 
 class _Run:
@@ -105,6 +113,7 @@
         self._plan_ms = []
         self._wasted = 0.0
         self._runs = 0
+        self._broken = []
 
     def run(self):
         """Play to the end; return `Played`."""
@@ -194,12 +203,27 @@
         fails = self._fails(worker) or self._chance.random() < arrival.kind.fails_share
         size = step.count if step.gang else 1
         run = _Run(order, worker, work_ms, size, fails)
+        self._check(order, step)
         self._there[order.worker_id][order.task, order.run] = run
         mates = self._mates(order)
         if len(mates) == size:
             self._begin(mates, step)
         self._after(WAY_MS, self._answered, order)
 
+    def _check(self, order, step):
+        """Note what a start breaks."""
+        running = any(
+            task == order.task for there in self._there.values() for task, _ in there
+        )
+        progress = self._ledger.jobs[order.task.job_id]
+        if running or unit_of(order.task, step) in progress.done:
+            self._broken.append(f"twice: {order.task}, run {order.run}")
+        need = step.need
+        for task, _ in self._there[order.worker_id]:
+            need = need.plus(self._arrivals[task.job_id].job.steps[task.step].need)
+        if not self._workers[order.worker_id].entry.capacity.holds(need):
+            self._broken.append(f"over its capacity: {order.worker_id}")
+
     def _mates(self, order):
         """Return the runs that work together with an order's, itself included."""
         key = (*order.task[:3], order.run)
@@ -330,8 +354,14 @@
             len(self._day.arrivals) - len(self._over_ms),
             tuple(self._plan_ms),
             self._runs,
+            tuple(self._broken),
+            self._starved(),
         )
 
+    def _starved(self):
+        running = {unit.job_id for unit in self._dispatcher.runs}
+        return sum(job_id not in running for job_id in self._ledger.open_jobs)
+
 
 def _end_ms(run):
     """Return when a run that began ends by itself, by its worker's windows."""
