Let the stopped not retake the places of the work they were stopped for

Change: a unit for which others were stopped keeps a claim for 1.5 s; it comes after guaranteed work and before all other. Ruled out: urgent work before all others also when late (work in time earns more), and no stops for late work alone (the stops were decided when it was in time). The new test fails before.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -46,6 +46,7 @@
 START_TRIES_COUNT = 3  # within the time that a gang waits for its members
 LEARN_MS = 500  # between two workings out of speeds
 AVOID_MS = 3_000  # a unit that failed runs elsewhere, unless nowhere else is free
+CLAIM_MS = 1_500  # a stop takes 200 ms; one that is repeated, a second more
 ORDER_LOST_MS = 3_000  # a start's three tries take 1.8 s
 NOT_STARTED = (
     REASON_OLD,
@@ -79,6 +80,7 @@
         self._learned_ms = now_ms
         self._room_changed = True
         self._waiting_since = {}
+        self._claims = {}
 
     @property
     def room_changed(self):
@@ -254,12 +256,18 @@
         self._waiting_since = {
             unit[:3]: self._waiting_since.get(unit[:3], now_ms) for unit in waiting
         }
+        self._claims = {
+            unit: until_ms
+            for unit, until_ms in self._claims.items()
+            if until_ms > now_ms and unit not in self._runs
+        }
         if not waiting:
             return []
         plan = self._planner.plan(
             Situation(
                 waiting,
                 self._waiting_since,
+                self._claims,
                 self._ledger,
                 self._workers,
                 self._runs,
@@ -273,6 +281,7 @@
         actions = []
         for preempted in plan.preempted:
             actions.append(preempted)
+            self._claims.setdefault(preempted.wanted_by, now_ms + CLAIM_MS)
             for unit in preempted.units:
                 actions.extend(self._end_run(unit, now_ms))
         launches = [self._launch(unit, at, now_ms) for unit, at in plan.starts]
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -32,6 +32,7 @@
 
     waiting: list
     waiting_since: dict
+    claims: dict
     ledger: object
     workers: dict
     runs: dict
@@ -84,11 +85,21 @@
         found = waiting_steps(
             at.waiting, at.ledger, at.runs, at.configuration, at.now_ms, at.wall_ms
         )
-        found.sort(key=lambda waiting: self._order.key(waiting, at.now_ms))
+        found.sort(key=self._key)
         for waiting in found:
             self._place_step(waiting)
         return UnitPlan(tuple(self._starts), tuple(self._preempted))
 
+    def _key(self, waiting):
+        """Return a sort key: guarantees, then work that others were stopped for.
+
+        Otherwise the stopped would take their places again, as such work may have
+        become late meanwhile.
+        """
+        claimed = any(unit in self._at.claims for unit in waiting.units)
+        order = self._order.key(waiting, self._at.now_ms)
+        return (not waiting.guaranteed, not claimed, order)
+
     def _place_step(self, waiting):
         """Place the units of a step; those that failed somewhere one by one."""
         plain = waiting.units
--- a/tests/test_work_crest.py
+++ b/tests/test_work_crest.py
@@ -96,6 +96,28 @@
         self.assertEqual(world.started[-1].worker_id, "w0")
 
 
+class ClaimTest(unittest.TestCase):
+    """Work that others were stopped for gets the places, also once it is late."""
+
+    def test_the_stopped_do_not_take_their_places_again(self):
+        world = World(workers=1)
+        world.take_role()
+        world.accept(make_job("b" * 16, (make_step(8, estimate_ms=9_000),), 2))
+        world.plan()
+        self.assertEqual(len(world.started), 8)
+        job = make_job("c" * 16, (make_step(1, WHOLE),), **URGENT)
+        slack_ms = 1_250
+        accepted_ms = world.now_ms - slack_ms + 50
+        world.accept(job._replace(accepted_wall_ms=accepted_ms))
+        world.hold_all()
+        self.assertEqual(len(world.stopped), 8)
+        world.now_ms += 100
+        world.hold_all()
+        self.assertEqual(world.started[-1].task.job_id, "c" * 16)
+        self.assertEqual(len(world.started), 9)
+        self.assertEqual(len(world.stopped), 8)
+
+
 class LossTest(unittest.TestCase):
     """What may be lost where no guarantee asks for it."""
 
