Remove what the emulator keeps and never reads

Cause: read over: two fields of a run and a parameter that was overwritten at once. Behaviour is as it was.

--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -73,15 +73,13 @@
 class _Run:
     """One run of a task at a worker."""
 
-    def __init__(self, order, worker, work_ms, gang_size, fails):
+    def __init__(self, order, worker, work_ms, fails):
         self.order = order
         self.worker = worker
         self.work_ms = work_ms
-        self.gang_size = gang_size
         self.fails = fails
         self.begun_ms = -1
         self.slowness = 1.0
-        self.version = 0
 
 
 class Emulator:
@@ -124,7 +122,7 @@
         entries = tuple(worker.entry for worker in self._day.workers)
         self._do(self._dispatcher.list_workers(entries, 0))
         for name in self._workers:
-            self._at(WAY_MS, self._answer_hold, name, 0, 0)
+            self._at(WAY_MS, self._answer_hold, name, 0)
         while self._events and self._events[0][0] <= end_ms:
             self._now_ms, _, call, values = heapq.heappop(self._events)
             call(*values)
@@ -202,7 +200,7 @@
             work_ms = work_ms * (1 - float(order.saved)) + RESTORE_MS
         fails = self._fails(worker) or self._chance.random() < arrival.kind.fails_share
         size = step.count if step.gang else 1
-        run = _Run(order, worker, work_ms, size, fails)
+        run = _Run(order, worker, work_ms, fails)
         self._check(order, step)
         self._there[order.worker_id][order.task, order.run] = run
         mates = self._mates(order)
@@ -306,9 +304,9 @@
         self._numbers[name] += 1
         end = TaskEnd(self._numbers[name], run.order.task, run.order.run, kind, saved)
         self._ends[name].append(end)
-        self._after(WAY_MS, self._answer_hold, name, self._holding[name], self._now_ms)
+        self._after(WAY_MS, self._answer_hold, name, self._holding[name])
 
-    def _answer_hold(self, name, hold, sent_ms):
+    def _answer_hold(self, name, hold):
         """The worker's list reaches the scheduler, which holds again."""
         if hold != self._holding[name]:
             return
@@ -325,7 +323,7 @@
         self._ends[name] = [end for end in self._ends[name] if end.number > acked]
         if self._dispatcher.room_changed:
             self._plan_soon()
-        self._after(HOLD_MS, self._answer_hold, name, self._holding[name], 0)
+        self._after(HOLD_MS, self._answer_hold, name, self._holding[name])
 
     def _result(self):
         owed, earned, in_time = {}, {}, {}
