Serve all workers from one task with non-blocking sockets

Two threads a worker, each in a blocking urllib3 call, took two thirds of its time.

Change: WorkerConnections, one actor whose inbox waits for messages, sockets and timeouts at the same time (SelectorInbox), and HttpConnection, which parses with httptools (declared; wheels for arm64 and x86-64). WorkerClient becomes WorkerCodec, so the adapter only translates. An answer that waits in a socket goes before its timeout, so that a pause of the process doesn't turn it into a failure. Responses nested too deeply for the decoder are no answer instead of an error. Tests of silent, slow and malformed workers go with it.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -359,7 +359,7 @@
         )
         self._dispatcher = None
         self._pending_appends = {}
-        self._worker_links.close()
+        self._worker_links.drop_all()
         tell(self._worker_feed, SetWorkerPolling(False))
         tell(self._log_tail, SetReadPause(STANDBY_READ_PAUSE_MS))
         if self._resign_reply is not None:
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -58,6 +58,18 @@
     tail: Any
 
 
+class OpenWorker(NamedTuple):
+    """Connect to a worker at the address of its entry, in place of an earlier one."""
+
+    entry: WorkerEntry
+
+
+class CloseWorker(NamedTuple):
+    """Close the connections to a worker."""
+
+    worker_id: str
+
+
 class HoldRequest(NamedTuple):
     """Hold a worker: renew its leases, and wait for its lists of runs.
 
@@ -67,6 +79,7 @@
     earlier if a run ends.
     """
 
+    worker_id: str
     fence: int
     deadline_ms: int
     acknowledged_upto: int
--- a/knapweedshed/links/service.py
+++ b/knapweedshed/links/service.py
@@ -5,36 +5,53 @@
 """
 
 from abc import ABC, abstractmethod
+from typing import NamedTuple
 
 
-class WorkerClient(ABC):
-    """Client of one worker.
+class WorkerCall(NamedTuple):
+    """An HTTP POST request to a worker; `headers` are (name, value) pairs."""
 
-    The worker must refuse every request whose fence is lower than the highest it has
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class WorkerCodec(ABC):
+    """Encodes the requests to workers and decodes their responses.
+
+    A worker must refuse every request whose fence is lower than the highest it has
     seen; refuse a run whose number is not higher than that of a run of the task that
     ended or was stopped there; and end runs that no lease covers. Without the first
     rule, two schedulers could run a task twice.
+
+    The decoders take the `Response` to a call, `NotSent` or `NoAnswer`.
     """
 
     @abstractmethod
-    def start(self, order, fence):
-        """Start a run; return an `OrderOutcome`."""
+    def encode_hold(self, entry, request):
+        """Return the `WorkerCall` of a `HoldRequest`.
+
+        A hold raises the fence, renews leases until `deadline_ms` on the worker's
+        clock (0 renews none), and waits up to `wait_ms` for a run to end.
+        """
 
     @abstractmethod
-    def stop(self, order, fence):
-        """Stop a run and refuse its number from now on; return an `OrderOutcome`."""
+    def decode_hold(self, result):
+        """Return `HoldAnswer` or a failure.
+
+        `Refused` has the reason `fence` or `other incarnation`.
+        """
 
     @abstractmethod
-    def hold(self, fence, deadline_ms, acknowledged_upto, wait_ms):
-        """Raise the fence, renew leases and wait up to `wait_ms` for a run to end.
+    def encode_order(self, entry, order, fence):
+        """Return the `WorkerCall` of a `StartRun` or a `StopRun`.
 
-        Leases are renewed until `deadline_ms` on the worker's clock; 0 renews none.
-        Return `HoldAnswer`, `Refused` (`fence`, `other incarnation`) or a failure.
+        A stop also refuses its run from now on, if it arrives later.
         """
 
     @abstractmethod
-    def close(self):
-        """Close the connections."""
+    def decode_order(self, result):
+        """Return the `OrderOutcome` of an order."""
 
 
 class ConfigurationFeed(ABC):
@@ -88,8 +105,8 @@
         """Return a `LogService`."""
 
     @abstractmethod
-    def worker(self, entry):
-        """Return a `WorkerClient` for a `WorkerEntry`."""
+    def worker_codec(self):
+        """Return the `WorkerCodec`."""
 
     @abstractmethod
     def configuration_feed(self):
--- a/knapweedshed/links/worker_links.py
+++ b/knapweedshed/links/worker_links.py
@@ -1,33 +1,38 @@
-"""The acting scheduler's connections to all workers."""
+"""The acting scheduler's handle on the connections to all workers."""
 
 from knapweedshed.actors import tell
-from knapweedshed.controllers.work_messages import HoldRequest
-from knapweedshed.links.worker_orders import HoldLink, OrderLink
+from knapweedshed.controllers.work_messages import CloseWorker, HoldRequest, OpenWorker
+from knapweedshed.links.worker_connections import WorkerConnections
 
 HOLD_WAIT_MS = 1_000  # leases last some seconds and must be renewed several times
 HOLD_RETRY_DELAY_MS = 200
 
 
 class WorkerLinks:
-    """Two actors for each worker: one for holds, one for orders.
+    """Knows which workers are connected, and tells `WorkerConnections` what to send.
 
     For use by one actor only.
     """
 
     def __init__(self, context, timer, platform, receiver):
-        self._context = context
         self._timer = timer
-        self._platform = platform
-        self._receiver = receiver
-        self._links = {}
+        self._connections = WorkerConnections.start(
+            context, platform.worker_codec(), receiver
+        )
+        self._addresses = {}
 
     def close(self):
-        """Stop all links without waiting for calls in progress."""
-        for worker_id in list(self._links):
+        """Drop all workers and stop the actor that owns the connections."""
+        self.drop_all()
+        self._connections.stop(block=False)
+
+    def drop_all(self):
+        """Close the connections to all workers."""
+        for worker_id in list(self._addresses):
             self.drop(worker_id)
 
     def open_missing(self, workers):
-        """Open links to listed workers that are new or have moved; return their ids.
+        """Connect to listed workers that are new or have moved; return their ids.
 
         `workers` has the `TrackedWorker` of each id. A worker has moved if its address
         changed.
@@ -35,22 +40,17 @@
         opened = []
         for worker_id, tracked in workers.items():
             entry = tracked.entry
-            if entry is None:
-                continue
-            address, _, _ = self._links.get(worker_id, ("", None, None))
-            if address == entry.address:
+            if entry is None or self._addresses.get(worker_id) == entry.address:
                 continue
-            self.drop(worker_id)
-            self._links[worker_id] = self._open(entry)
+            self._addresses[worker_id] = entry.address
+            tell(self._connections, OpenWorker(entry))
             opened.append(worker_id)
         return opened
 
     def drop(self, worker_id):
-        """Stop the links to a worker, if there are any."""
-        _, hold, orders = self._links.pop(worker_id, ("", None, None))
-        for ref in (hold, orders):
-            if ref is not None:
-                ref.stop(block=False)
+        """Close the connections to a worker, if there are any."""
+        if self._addresses.pop(worker_id, None) is not None:
+            tell(self._connections, CloseWorker(worker_id))
 
     def hold(self, worker_id, fence, deadline_ms, acknowledged_upto):
         """Hold a worker now.
@@ -59,28 +59,16 @@
         answers at once and renews nothing.
         """
         wait_ms = HOLD_WAIT_MS if deadline_ms else 0
-        message = HoldRequest(fence, deadline_ms, acknowledged_upto, wait_ms)
-        tell(self._hold_link(worker_id), message)
+        tell(
+            self._connections,
+            HoldRequest(worker_id, fence, deadline_ms, acknowledged_upto, wait_ms),
+        )
 
     def hold_later(self, worker_id, fence, deadline_ms, acknowledged_upto):
         """Hold a worker after `HOLD_RETRY_DELAY_MS`; it then answers at once."""
-        message = HoldRequest(fence, deadline_ms, acknowledged_upto, 0)
-        self._timer.after(HOLD_RETRY_DELAY_MS, self._hold_link(worker_id), message)
+        message = HoldRequest(worker_id, fence, deadline_ms, acknowledged_upto, 0)
+        self._timer.after(HOLD_RETRY_DELAY_MS, self._connections, message)
 
     def order(self, message):
         """Send an order to its worker."""
-        _, _, orders = self._links.get(message.order.worker_id, ("", None, None))
-        tell(orders, message)
-
-    def _hold_link(self, worker_id):
-        _, hold, _ = self._links.get(worker_id, ("", None, None))
-        return hold
-
-    def _open(self, entry):
-        hold = HoldLink.start(
-            self._context, self._platform.worker(entry), entry.worker_id, self._receiver
-        )
-        orders = OrderLink.start(
-            self._context, self._platform.worker(entry), self._receiver
-        )
-        return entry.address, hold, orders
+        tell(self._connections, message)
--- a/knapweedshed/platform/adapter.py
+++ b/knapweedshed/platform/adapter.py
@@ -7,7 +7,7 @@
 from knapweedshed.platform.feeds import StoreConfigurationFeed, StoreWorkerFeed
 from knapweedshed.platform.settings import load_settings_file
 from knapweedshed.platform.store import StoreLog
-from knapweedshed.platform.workers import HttpWorkerClient
+from knapweedshed.platform.workers import JsonWorkerCodec
 
 SETTINGS_VARIABLE = "KNAPWEEDSHED_CONFIG"
 
@@ -38,9 +38,9 @@
         """Return a client of the log in the store."""
         return StoreLog(self._clock, self._store_address)
 
-    def worker(self, entry):
-        """Return a client of one worker."""
-        return HttpWorkerClient(self._clock, entry)
+    def worker_codec(self):
+        """Return the codec of requests to workers."""
+        return JsonWorkerCodec()
 
     def configuration_feed(self):
         """Return the feed of the operator's configuration."""
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -28,6 +28,7 @@
     AttributeError,
     IndexError,
     OverflowError,
+    RecursionError,
 )
 
 
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -5,6 +5,7 @@
 import unittest
 
 from knapweedshed.clock import create_clock
+from knapweedshed.links.http_client import Response
 from knapweedshed.links.http_server import HttpRequest
 from knapweedshed.models.calls import CallKind, WorkReply
 from knapweedshed.models.dispatch_actions import (
@@ -21,10 +22,11 @@
 from knapweedshed.platform.feeds import StoreConfigurationFeed, StoreWorkerFeed
 from knapweedshed.platform.settings import decode_settings
 from knapweedshed.platform.store import StoreLog
-from knapweedshed.platform.workers import HttpWorkerClient, decode_task, encode_task
+from knapweedshed.platform.workers import JsonWorkerCodec, decode_task, encode_task
 from knapweedshed.results import Result, ResultCode
 from tests.fleet_standin import FakeStore, FakeWorker
 from tests.ports import free_port
+from tests.worker_harness import ConnectedWorker
 
 SILENT_LOGGER = logging.getLogger("knapweedshed.silent")
 TASK = Task("a" * 16, 0, 1, 17)
@@ -151,17 +153,17 @@
         self.addCleanup(self.fake_worker.close)
         feed = StoreWorkerFeed(create_clock(), store.address, SILENT_LOGGER)
         self.addCleanup(feed.close)
-        self.worker = HttpWorkerClient(create_clock(), feed.read()[0])
+        self.worker = ConnectedWorker(feed.read()[0], JsonWorkerCodec())
         self.addCleanup(self.worker.close)
 
     def _start(self, fence=1):
-        return self.worker.start(StartRun("i-1", TASK, 2, "text", "", 9_000), fence)
+        return self.worker.order(StartRun("i-1", TASK, 2, "text", "", 9_000), fence)
 
     def test_started_task_is_listed_and_stop_ends_it(self):
         self.assertEqual(self._start().kind, ORDER_DONE)
         hold_reply = self.worker.hold(1, 9_000, 0, 0)
         self.assertEqual([(r.task, r.run) for r in hold_reply.running], [(TASK, 2)])
-        self.assertEqual(self.worker.stop(StopRun("i-1", TASK, 2), 1).kind, ORDER_DONE)
+        self.assertEqual(self.worker.order(StopRun("i-1", TASK, 2), 1).kind, ORDER_DONE)
         hold_reply = self.worker.hold(1, 9_000, 0, 0)
         self.assertEqual([end.kind for end in hold_reply.ended], ["stopped"])
 
@@ -187,6 +189,13 @@
         with self.assertRaises(ValueError):
             decode_task("x.1")
 
+    def test_lists_that_cannot_be_decoded_are_no_answer(self):
+        codec = JsonWorkerCodec()
+        deeply_nested = b"[" * 100_000
+        for body in (b"", b"\xff", b"[]", b'{"clock_ms":"x"}', deeply_nested):
+            answer = codec.decode_hold(Response(200, {}, body))
+            self.assertIsInstance(answer, NoAnswer, body[:20])
+
 
 class CallersTest(unittest.TestCase):
     """Decoding of requests and encoding of replies, in JSON."""
