Contain faults: loops go on, stale lists change nothing, suspended time counts

Ruled out by tests that pass before too: a silent worker, or one missing from the list, keeps its run within its lease.

Change: the clock counts suspended time; an entry older than what the worker itself has said is ignored, and draining lasts for an incarnation; Actor.recover lets actors that drive themselves go on after an error; keyed records without a key are skipped; tasks that don't exist are neither recorded nor followed; the scheduler takes only newer configurations. Also: gangs that want one rack use several once they have waited 1.5 s while two fifths of the service are idle.

--- a/knapweedshed/actors.py
+++ b/knapweedshed/actors.py
@@ -36,8 +36,15 @@
                     "message_type": type(message).__name__,
                 },
             )
+            self.recover(message)
             return None
 
+    def recover(self, message):
+        """Go on after an error in handling `message`; for actors that drive themselves.
+
+        An actor whose handler sends the message that keeps it going sends it here too.
+        """
+
     @singledispatchmethod
     def receive(self, message):
         """Drop a message of an unregistered type, with a warning."""
--- a/knapweedshed/clock.py
+++ b/knapweedshed/clock.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 
 MS_PER_SECOND = 1_000
+STEADY_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(ABC):
@@ -22,8 +23,12 @@
     """The clock of the operating system."""
 
     def now_ms(self):
-        """Return the system's monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Return the milliseconds since boot.
+
+        Unlike Linux's monotonic clock, this one counts the time for which the machine
+        was suspended, so that a lease or a role that ran out meanwhile is not used.
+        """
+        return time.clock_gettime_ns(STEADY_CLOCK_ID) // 1_000_000
 
     def wall_ms(self):
         """Return the system's wall time in milliseconds since the epoch."""
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -124,7 +124,9 @@
 
     @receive.register
     def update_configuration(self, message: ServiceConfigurationUpdated):
-        """Replace the configuration and plan again."""
+        """Replace the configuration if the one given is newer, and plan again."""
+        if message.configuration.version <= self._configuration.version:
+            return
         self._configuration = message.configuration
         if self._dispatcher is not None:
             self._dispatcher.configure(message.configuration)
@@ -210,6 +212,11 @@
         if self._dispatcher.capacity_changed:
             self._schedule_planning()
 
+    def recover(self, message):
+        """Hold a worker again whose answer could not be applied."""
+        if isinstance(message, HoldResponse) and self._dispatcher is not None:
+            self._hold_later(message.worker_id)
+
     @receive.register
     def handle_order_response(self, message: OrderResponse):
         """Apply the outcome of an order; end the term if the fence was refused."""
@@ -405,6 +412,10 @@
             self._end_fenced_term()
             return
         self._context.metrics.count("holds.failures")
+        self._hold_later(worker_id)
+
+    def _hold_later(self, worker_id):
+        """Hold a worker after a failure, without renewing its lease."""
         if not self._keep_or_drop_worker(worker_id):
             return
         deadline_ms, acknowledged_upto = self._dispatcher.hold_parameters(
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -418,14 +418,13 @@
                 self._avoid_worker(end.task, worker.worker_id, now_ms)
             elif end.kind == EndKind.DONE:
                 worker.record_success()
-            known = end.task.job_id in self._ledger.jobs
-            if known and needs_recording(end):
+            if self._ledger.has_task(end.task) and needs_recording(end):
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
 
     def _avoid_worker(self, task, worker_id, now_ms):
         """Run a unit elsewhere next, so that a faulty worker fails it only once."""
-        if task.job_id in self._ledger.jobs:
+        if self._ledger.has_task(task):
             avoided_until_ms = self._avoided_workers.setdefault(self._unit_of(task), {})
             avoided_until_ms[worker_id] = now_ms + FAILED_WORKER_AVOIDANCE_MS
 
@@ -463,7 +462,7 @@
 
     def _handle_task_removal(self, task, run, kind, now_ms):
         """Remove a task from its unit's run; stop the rest unless the task is done."""
-        if task.job_id not in self._ledger.jobs:
+        if not self._ledger.has_task(task):
             return []
         unit = self._unit_of(task)
         unit_run = self._unit_runs.get(unit)
@@ -500,6 +499,8 @@
             ordered_ms=now_ms,
         )
         orders = [StopRun(worker.worker_id, *key)]
+        if not self._ledger.has_task(key[0]):
+            return orders
         unit = self._unit_of(key[0])
         unit_run = self._unit_runs.get(unit)
         if unit_run is not None and unit_run.run == key[1] and not unit_run.ending:
--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -9,6 +9,7 @@
     place_up_to,
 )
 from knapweedshed.decisions.tracked_workers import RunPhase
+from knapweedshed.decisions.work_order import CORES_PER_ACCELERATOR, MILLI_PER_UNIT
 from knapweedshed.models.work import Resources
 
 RACK_LABEL_PREFIX = "r"  # a rack label is like r1-2
@@ -97,6 +98,24 @@
             all_workers,
         )
 
+    def used_share(self, service):
+        """Return the share of a service's capacity that is used or reserved.
+
+        Accelerators and cores are added up by their price. Returns 1.0 without workers.
+        """
+        used = total = 0
+        for traits in self._traits:
+            if traits.service != service:
+                continue
+            capacity = priced_cores(self._workers[traits.worker_id].entry.capacity)
+            free = min(
+                priced_cores(self._free_now[traits.worker_id]),
+                priced_cores(self._free_after_stops[traits.worker_id]),
+            )
+            total += capacity
+            used += capacity - free
+        return used / total if total else 1.0
+
     def release_preempted(self, units):
         """Count the resources of preempted units as free after their stops."""
         for unit in units:
@@ -223,6 +242,12 @@
     return ""
 
 
+def priced_cores(resources):
+    """Return the price of `resources` in cores."""
+    cores = resources.cpu_milli / MILLI_PER_UNIT
+    return cores + resources.accelerators * CORES_PER_ACCELERATOR
+
+
 def elementwise_min(first, second):
     """Return the minimum of two `Resources`, field by field."""
     return Resources(
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -18,6 +18,10 @@
 # How long an urgent unit waits for fast workers: a stop takes 200 ms, and a guarantee
 # must be met after 2,700 ms.
 FAST_WORKER_WAIT_MS = 800
+# How long a gang waits for a rack of its own while much of the service is idle. On
+# several racks it takes about three times as long.
+RACK_WAIT_MS = 1_500
+MAX_USED_SHARE_FOR_SEVERAL_RACKS = 0.6
 
 
 class UnitPlan(NamedTuple):
@@ -160,7 +164,27 @@
                 return
         self._no_room.add(placement_key)
         if waiting.priority == URGENT_PRIORITY:
-            self._place_by_preemption(waiting, multi_rack)
+            if self._place_by_preemption(waiting, multi_rack):
+                return
+        if self._may_use_several_racks(waiting):
+            self._add_start(waiting, self._capacity.allocate(waiting, True))
+
+    def _may_use_several_racks(self, waiting):
+        """Return whether a gang has waited for one rack while much is idle.
+
+        Other work keeps taking parts of each rack, so a wide gang could wait for ever.
+        """
+        step = waiting.step
+        if not (step.gang and step.same_rack):
+            return False
+        now_ms = self._planning_input.now_ms
+        seen_ms = self._planning_input.waiting_since_ms.get(
+            waiting.units[0][:3], now_ms
+        )
+        if now_ms - seen_ms < RACK_WAIT_MS:
+            return False
+        used_share = self._capacity.used_share(waiting.service)
+        return used_share <= MAX_USED_SHARE_FOR_SEVERAL_RACKS
 
     def _add_start(self, waiting, worker_ids):
         """Add a start if there are workers for it; return whether there are."""
@@ -203,20 +227,24 @@
         return True
 
     def _place_by_preemption(self, waiting, multi_rack):
-        """Reserve capacity that stops will free; preempt more units if it is short."""
+        """Reserve capacity that stops will free; preempt more units if it is short.
+
+        Returns whether capacity is reserved for the unit.
+        """
         if self._capacity.reserve(waiting, multi_rack):
-            return
+            return True
         preemption_key = (waiting.step, waiting.count, waiting.guaranteed)
         if preemption_key in self._no_victims:
-            return
+            return False
         workers = self._capacity.workers_after_stops(waiting, all_workers=True)
         max_cost = max_preemption_cost(waiting, self._planning_input.now_ms)
         victims = self._choose_victims(waiting, workers, multi_rack, max_cost)
         if not victims:
             self._no_victims.add(preemption_key)
-            return
+            return False
         self._preempt(waiting, victims)
         self._capacity.reserve(waiting, multi_rack)
+        return True
 
     def _choose_victims(self, waiting, workers, multi_rack, max_cost):
         return choose_victims(
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -141,10 +141,18 @@
         return lease_end_clock_ms
 
     def update_entry(self, entry):
-        """Store a newer entry; return the runs removed if the worker restarted."""
+        """Store an entry of the list; return the runs removed if the worker restarted.
+
+        The list lags behind: an entry of an earlier incarnation than the one that the
+        worker itself has named changes nothing but the address and the labels. A worker
+        that is draining keeps draining for the rest of its incarnation.
+        """
         removed = ()
-        if entry.incarnation != self.incarnation:
+        is_stale = self.has_answered and entry.incarnation < self.incarnation
+        if not is_stale and entry.incarnation != self.incarnation:
             removed = self.handle_restart(entry.incarnation)
+        if self.entry is not None and self.entry.incarnation == entry.incarnation:
+            entry = entry._replace(draining=entry.draining or self.entry.draining)
         self.entry = entry
         return removed
 
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -193,6 +193,13 @@
         """Return the stream offset of the valid claim, or -1 before the first."""
         return self._claimed_offset
 
+    def has_task(self, task):
+        """Return whether `task` belongs to a known job and exists in it."""
+        progress = self._jobs.get(task.job_id)
+        if progress is None or not 0 <= task.step < len(progress.job.steps):
+            return False
+        return 0 <= task.index < progress.job.steps[task.step].count
+
     def apply(self, offset, record):
         """Apply one record; return the ids of the jobs that it changed."""
         changed_ids = self._apply(offset, record)
--- a/knapweedshed/links/feeds.py
+++ b/knapweedshed/links/feeds.py
@@ -58,6 +58,10 @@
                 tell(receiver, ServiceConfigurationUpdated(result))
         self.actor_ref.tell(Tick())
 
+    def recover(self, message):
+        """Poll again later."""
+        self._timer.after(CONFIGURATION_RETRY_DELAY_MS, self.actor_ref, Tick())
+
     def _report_unreachable(self, reason):
         if not self._unreachable:
             self._unreachable = True
@@ -106,3 +110,8 @@
         else:
             tell(self._receiver, WorkersListed(entries))
         self._timer.after(WORKER_LIST_PERIOD_MS, self.actor_ref, Tick())
+
+    def recover(self, message):
+        """Read the list again later."""
+        if self._poll_scheduled:
+            self._timer.after(WORKER_LIST_PERIOD_MS, self.actor_ref, Tick())
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -46,6 +46,7 @@
         super().__init__(context)
         self._log = log
         self._pending = []
+        self._in_flight = ()
         self._flush_scheduled = False
 
     def on_stop(self):
@@ -67,7 +68,7 @@
     def flush(self, message: _Flush):
         """Append the next batch, of records of one stream, and report the outcomes."""
         self._flush_scheduled = False
-        batch = self._next_batch()
+        batch = self._in_flight = self._next_batch()
         if not batch:
             return
         records = [LogRecord(item.record_id, item.body) for item in batch]
@@ -75,6 +76,16 @@
         self._context.metrics.count("log.appends")
         for index, item in enumerate(batch):
             tell(item.receiver, self._outcome(item, index, result))
+        self._in_flight = ()
+        if self._pending:
+            self._schedule_flush()
+
+    def recover(self, message):
+        """Report the records of an append that raised an error; send the others."""
+        batch, self._in_flight = self._in_flight, ()
+        for item in batch:
+            failure = NoAnswer("the append raised an error")
+            tell(item.receiver, self._outcome(item, 0, failure))
         if self._pending:
             self._schedule_flush()
 
@@ -172,6 +183,10 @@
         if not self._pause_ms:
             self.read_now(ReadNow())
 
+    def recover(self, message):
+        """Read again later."""
+        self._timer.after(RETRY_DELAY_MS, self.actor_ref, ReadNext(self._pause_number))
+
     def _read(self, wait_ms):
         requested_ms = self._context.clock.now_ms()
         page = self._log.read(
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -47,7 +47,8 @@
         ):
             return self._read_all()
         self._next_offset += len(page.bodies)
-        return dict(_decode_keyed_record(body) for body in page.bodies), False
+        records = [_decode_keyed_record(body) for body in page.bodies]
+        return dict(record for record in records if record is not None), False
 
     def _read_all(self):
         result = self._store.read_newest(self._topic)
@@ -188,7 +189,10 @@
 
 
 def _decode_keyed_record(body):
-    length = body[0]
+    """Return (key, value), or None if the record is too short for its key."""
+    length = body[0] if body else 0
+    if not length or len(body) < 1 + length:
+        return None
     key = body[1 : 1 + length].decode("utf-8", "replace")
     return key, body[1 + length :]
 
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -45,10 +45,17 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._connections = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._acceptor = threading.Thread(target=self._accept, daemon=True)
+        self._acceptor.start()
 
     def close(self):
-        """Stop listening and close all connections."""
+        """Stop listening and close all connections.
+
+        A socket that a thread accepts on would listen until that thread returns.
+        """
+        if self._acceptor.is_alive():
+            self._listener.shutdown(socket.SHUT_RDWR)
+            self._acceptor.join()
         for sock in (self._listener, *self._connections):
             sock.close()
 
--- a/tests/worker_harness.py
+++ b/tests/worker_harness.py
@@ -14,6 +14,11 @@
 OUTCOME_TIMEOUT_S = 10
 
 
+def received_messages():
+    """Return an empty queue for a `Collector`."""
+    return queue.Queue()
+
+
 class Collector(Actor):
     """Puts every message that it receives into `received`."""
 
@@ -31,7 +36,7 @@
 
     def __init__(self, codec, entries=()):
         self._context = create_test_context()
-        self.received = queue.Queue()
+        self.received = received_messages()
         self._collector = Collector.start(self._context, self.received)
         self.connections = WorkerConnections.start(
             self._context, codec, self._collector
