Answer callers early where the log can't be reached, and truly after a lost answer

Ruled out: Retry-After as the cause: clients try five times within their 3 s in any case.

Change: LogReachability combines appends and reads. A log that doesn't answer is not appended to again (a certain 503 at once); one that refuses at once is tried with each submission. Where the log can't be reached after an append without an answer, the caller hears 504 at once instead of at its deadline, and the job is remembered: no later answer says "not accepted". Hosts leave rotation 1.4 s after the last answer instead of 2.5 s. Appends time out after 400 ms, then twice that; a tail reads again at once after its first failure.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -29,16 +29,17 @@
     RETRY_AFTER_INITIAL_MS,
     AppendState,
     AppendVerdict,
+    UnknownOutcomes,
     after_failure,
-    log_is_down,
     retry_after_ms,
 )
+from knapweedshed.decisions.log_reachability import LogReachability
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.filters.work_calls import refused_reply
 from knapweedshed.models.calls import CallKind, WorkReply
 from knapweedshed.models.work import WorkJob
 from knapweedshed.models.work_records import WORK_STREAM, WorkAccepted, WorkCancelled
-from knapweedshed.results import Result, ResultCode
+from knapweedshed.results import ResultCode
 
 # 500 ms less than the time for which an accepted job may stay invisible to callers.
 LOG_FRESHNESS_MS = 2_500
@@ -78,8 +79,8 @@
         self._submit_record_ids = {}
         self._caught_up = False
         self._last_read_ms = -LOG_FRESHNESS_MS
-        self._last_append_failure_ms = -1
-        self._last_append_success_ms = 0
+        self._log_reachability = LogReachability()
+        self._unknown_outcomes = UnknownOutcomes()
         self._configured = False
         self._log_tail = None
         self._next_read_ms = 0
@@ -99,6 +100,7 @@
     def apply_records(self, message: RecordsRead):
         """Apply a page of records, and answer the calls whose records are in it."""
         self._last_read_ms = self._context.clock.now_ms()
+        self._log_reachability.note_read(self._last_read_ms)
         self._next_read_ms = self._last_read_ms + message.pause_ms
         for offset, record_id, record in decode_records(self._context, message):
             self._ledger.apply(offset, record)
@@ -146,7 +148,8 @@
     @receive.register
     def handle_append_done(self, message: AppendDone):
         """Answer the calls that wait for this record: it is in the log."""
-        self._last_append_success_ms = self._context.clock.now_ms()
+        now_ms = self._context.clock.now_ms()
+        self._log_reachability.note_append_done(message.record_id, now_ms)
         pending = self._pending_appends.get(message.record_id)
         if pending is not None:
             self._finish_append(pending, WorkReply())
@@ -158,7 +161,7 @@
         Calls are refused only if the record was certainly not written.
         """
         now_ms = self._context.clock.now_ms()
-        self._last_append_failure_ms = now_ms
+        self._log_reachability.note_append_failed(message.record_id, now_ms)
         pending = self._pending_appends.get(message.record_id)
         if pending is None:
             return
@@ -168,7 +171,7 @@
         if verdict == AppendVerdict.REFUSE:
             self._finish_append(pending, self._log_unavailable_reply(message.reason))
         elif verdict == AppendVerdict.UNKNOWN:
-            self._finish_append(pending, _unknown_outcome_reply())
+            self._finish_with_unknown_outcome(pending)
         else:
             retry_at_ms = now_ms + APPEND_RETRY_DELAY_MS
             self._pending_appends[message.record_id] = pending._replace(
@@ -182,15 +185,20 @@
         self._serve_deferred_calls(now_ms - LOG_READ_TIMEOUT_MS)
         for record_id, pending in list(self._pending_appends.items()):
             if now_ms >= pending.state.deadline_ms:
-                self._finish_append(pending, _unknown_outcome_reply())
+                self._finish_with_unknown_outcome(pending)
             elif pending.retry_at_ms and now_ms >= pending.retry_at_ms:
                 self._pending_appends[record_id] = pending._replace(retry_at_ms=0)
-                tell(self._appender, pending.append_request)
+                self._send_append(pending.append_request)
 
     @receive.register
     def answer_readiness(self, message: ReadinessAsked):
-        """Answer whether this host is configured and has read the log recently."""
-        message.reply.set(self._configured and self._is_log_fresh())
+        """Answer whether this host is configured and can serve callers from the log."""
+        now_ms = self._context.clock.now_ms()
+        message.reply.set(
+            self._configured
+            and self._is_log_fresh()
+            and self._log_reachability.is_reachable(now_ms)
+        )
 
     @receive.register
     def set_log_tail(self, message: UseLogTail):
@@ -242,8 +250,8 @@
                 call_ids=(*pending.call_ids, call.call_id)
             )
             return
-        if self._is_log_down():
-            self._send_answer(call, self._log_unavailable_reply("the log is down"))
+        if self._is_log_silent():
+            self._send_answer(call, self._not_appended_reply(call.job_id))
             return
         record = WorkAccepted(_create_job(call, self._context.clock.wall_ms()))
         self._submit_record_ids[call.job_id] = self._append_record(call, record)
@@ -255,8 +263,10 @@
         if not self._ledger.jobs[call.job_id].active:
             self._send_answer(call, WorkReply())
             return
-        if self._is_log_down():
-            self._send_answer(call, self._log_unavailable_reply("the log is down"))
+        if self._is_log_silent():
+            self._send_answer(
+                call, self._log_unavailable_reply("the log does not answer")
+            )
             return
         self._append_record(call, WorkCancelled(call.job_id))
 
@@ -293,19 +303,31 @@
         append_request = AppendRecord(
             WORK_STREAM, record_id, json_text.dumps(record), self.actor_ref
         )
-        state = AppendState(call.deadline_ms - ANSWER_MARGIN_MS)
+        maybe_written = self._unknown_outcomes.holds(
+            call.job_id, self._context.clock.now_ms()
+        )
+        state = AppendState(call.deadline_ms - ANSWER_MARGIN_MS, maybe_written)
         self._pending_appends[record_id] = PendingAppend(
             append_request, call.job_id, state, (call.call_id,)
         )
-        tell(self._appender, append_request)
+        self._send_append(append_request)
         return record_id
 
+    def _send_append(self, append_request):
+        now_ms = self._context.clock.now_ms()
+        self._log_reachability.note_append_sent(append_request.record_id, now_ms)
+        tell(self._appender, append_request)
+
+    def _finish_with_unknown_outcome(self, pending):
+        now_ms = self._context.clock.now_ms()
+        self._unknown_outcomes.add(pending.job_id, now_ms)
+        self._finish_append(pending, self._unknown_outcome_reply())
+
     def _finish_append(self, pending, reply):
-        self._pending_appends.pop(pending.append_request.record_id, None)
-        if (
-            self._submit_record_ids.get(pending.job_id)
-            == pending.append_request.record_id
-        ):
+        record_id = pending.append_request.record_id
+        self._pending_appends.pop(record_id, None)
+        self._log_reachability.note_append_forgotten(record_id)
+        if self._submit_record_ids.get(pending.job_id) == record_id:
             del self._submit_record_ids[pending.job_id]
         for call_id in pending.call_ids:
             tell(self._calls, CallAnswered(call_id, reply))
@@ -317,16 +339,25 @@
         age_ms = self._context.clock.now_ms() - self._last_read_ms
         return self._caught_up and age_ms < LOG_FRESHNESS_MS
 
+    def _not_appended_reply(self, job_id):
+        """Return the reply to a submission that is not appended."""
+        if self._unknown_outcomes.holds(job_id, self._context.clock.now_ms()):
+            return self._unknown_outcome_reply()
+        return self._log_unavailable_reply("the log does not answer")
+
     def _log_unavailable_reply(self, reason):
-        after_ms = retry_after_ms(self._last_read_ms, self._context.clock.now_ms())
-        return refused_reply(ResultCode.LOG_UNAVAILABLE, reason, after_ms)
-
-    def _is_log_down(self):
-        return log_is_down(
-            self._last_append_failure_ms,
-            self._last_append_success_ms,
-            self._context.clock.now_ms(),
-        )
+        return refused_reply(ResultCode.LOG_UNAVAILABLE, reason, self._retry_after_ms())
+
+    def _unknown_outcome_reply(self):
+        reason = "the log did not say whether it took the record; ask again"
+        return refused_reply(ResultCode.OUTCOME_UNKNOWN, reason, self._retry_after_ms())
+
+    def _retry_after_ms(self):
+        now_ms = self._context.clock.now_ms()
+        return retry_after_ms(self._log_reachability.unanswered_ms(now_ms))
+
+    def _is_log_silent(self):
+        return self._log_reachability.is_silent(self._context.clock.now_ms())
 
 
 def _create_job(call, wall_ms):
@@ -347,8 +378,3 @@
         draft.period_ms,
         draft.repeats,
     )
-
-
-def _unknown_outcome_reply():
-    reason = "the log did not say whether it took the record; ask again"
-    return WorkReply(Result(ResultCode.OUTCOME_UNKNOWN, reason))
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -17,7 +17,9 @@
 
 MAX_PAGE_RECORDS = 500
 MAX_READ_WAIT_MS = 5_000
-RETRY_DELAY_MS = 400
+RETRY_DELAY_MS = 250
+# After the first failure in a row: the connection may have gone silent, not the log.
+FIRST_RETRY_DELAY_MS = 50
 MAX_BATCH_RECORDS = 200
 MAX_BATCH_BYTES = 4_000_000
 
@@ -147,6 +149,7 @@
         self._receiver = receiver
         self._next_offset = from_offset
         self._wait_ms = 0
+        self._failed_before = False
 
     def on_start(self):
         """Start reading."""
@@ -194,10 +197,12 @@
         )
         if isinstance(page, FAILURE_TYPES):
             tell(self._receiver, LogUnreadable(self._stream, page.reason))
-            self._timer.after(
-                RETRY_DELAY_MS, self.actor_ref, ReadNext(self._pause_number)
-            )
+            delay_ms = RETRY_DELAY_MS if self._failed_before else FIRST_RETRY_DELAY_MS
+            self._failed_before = True
+            self._wait_ms = 0
+            self._timer.after(delay_ms, self.actor_ref, ReadNext(self._pause_number))
             return
+        self._failed_before = False
         self._wait_ms = self._max_wait_ms
         if page.records:
             self._next_offset = page.records[-1].offset + 1
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -9,8 +9,11 @@
 from knapweedshed.models.outcomes import LogPage, NoAnswer, Refused, StoredRecord
 
 # One-way latency is at most 1.4 ms; a lost SYN is retransmitted after 1 s.
-CONNECT_TIMEOUT_MS = 500
+CONNECT_TIMEOUT_MS = 400
 READ_MARGIN_MS = 800  # a store that is 60 times slower than usual answers in 250 ms
+# An append without an answer is repeated on a new connection, with twice the timeout.
+APPEND_TIMEOUT_MS = 400
+MAX_APPEND_TIMEOUT_MS = 1_600
 LENGTH_PREFIX_BYTES = 4
 PAGE_HEADER_BYTES = 16  # end offset and first retained offset, 8 bytes each
 ONLY_PARTITION = 0
@@ -48,7 +51,8 @@
     """Client of the store over one connection; for use by one thread."""
 
     def __init__(self, clock, address):
-        self._client = HttpClient(clock, address, CONNECT_TIMEOUT_MS, READ_MARGIN_MS)
+        self._client = HttpClient(clock, address, CONNECT_TIMEOUT_MS, read_margin_ms=0)
+        self._append_timeout_ms = APPEND_TIMEOUT_MS
 
     def close(self):
         """Close the connection."""
@@ -58,8 +62,18 @@
         """Append encoded records; return the first offset or a failure."""
         body = b"".join(struct.pack(">I", len(item)) + item for item in bodies)
         response = self._request(
-            "POST", "/v1/log-append", _partition_fields(topic), body
+            "POST",
+            "/v1/log-append",
+            _partition_fields(topic),
+            body,
+            timeout_ms=self._append_timeout_ms,
         )
+        if isinstance(response, NoAnswer):
+            self._append_timeout_ms = min(
+                2 * self._append_timeout_ms, MAX_APPEND_TIMEOUT_MS
+            )
+        else:
+            self._append_timeout_ms = APPEND_TIMEOUT_MS
         if not isinstance(response, Response):
             return response
         try:
@@ -81,7 +95,11 @@
         if wait_ms:
             query["wait_ms"] = wait_ms
         response = self._request(
-            "GET", "/v1/log-read", query, wait_ms=wait_ms, accept_gone=True
+            "GET",
+            "/v1/log-read",
+            query,
+            timeout_ms=wait_ms + READ_MARGIN_MS,
+            accept_gone=True,
         )
         if not isinstance(response, Response):
             return response
@@ -111,8 +129,16 @@
                 return NoAnswer(f"list of keys can't be decoded: {error}")
         return values, end
 
-    def _request(self, method, path, query, body=b"", wait_ms=0, accept_gone=False):
-        response = self._client.request(method, path, body, query, wait_ms)
+    def _request(
+        self,
+        method,
+        path,
+        query,
+        body=b"",
+        timeout_ms=READ_MARGIN_MS,
+        accept_gone=False,
+    ):
+        response = self._client.request(method, path, body, query, timeout_ms)
         if not isinstance(response, Response) or response.status == HTTP_OK:
             return response
         if accept_gone and response.status == HTTP_GONE:
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -42,7 +42,7 @@
 from knapweedshed.timers import Timer
 
 # Longest wait of a read at the log; short, to detect a silent connection soon.
-STREAM_READ_WAIT_MS = 1_000
+STREAM_READ_WAIT_MS = 600
 # The load balancer drops a host after 2 missed health checks, 1 s apart; the third
 # second is a margin of one more check.
 DEREGISTRATION_DELAY_MS = 3_000
