Keep claimed places, and place nothing in data centres that fell silent

Change: PreemptionClaims keep the workers of a place until it is used, lost or 1.5 s old; what a unit's preemptions cost adds up against its bound; guaranteed units that have waited 1 s go before claims. A worker without an answer to its last hold or order gets nothing until it answers, and two such workers stand for their data centre until one of it answers. Workers that can't be reached are no longer quarantined as faulty. While a list must show whether a run exists, holds wait 100 ms instead of 1 s.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -43,11 +43,16 @@
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_ordering_policy
-from knapweedshed.links.worker_links import WorkerLinks
+from knapweedshed.links.worker_links import (
+    DOUBT_HOLD_WAIT_MS,
+    HOLD_WAIT_MS,
+    WorkerLinks,
+)
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
     ORDER_UNKNOWN,
     REASON_FENCE,
+    REASON_NOT_SENT,
     OrderOutcome,
     Preempted,
     RecordLaunches,
@@ -74,7 +79,7 @@
 MIN_PLAN_DELAY_MS = 10  # runs that end together are planned for together
 # Times the last plan's duration; limits planning to a third of the processor time.
 PLAN_DELAY_RATIO = 2
-ORDER_NOT_SENT = OrderOutcome(ORDER_UNKNOWN, "not sent: no recent answer from the log")
+ORDER_NOT_SENT = OrderOutcome(ORDER_UNKNOWN, REASON_NOT_SENT)
 
 
 class SchedulingController(Controller):
@@ -390,8 +395,13 @@
         deadline_ms, acknowledged_upto = self._dispatcher.hold_parameters(
             worker_id, now_ms
         )
+        has_doubtful_runs = self._dispatcher.workers[worker_id].has_doubtful_runs
         self._worker_links.hold(
-            worker_id, self._ledger.epoch, deadline_ms, acknowledged_upto
+            worker_id,
+            self._ledger.epoch,
+            deadline_ms,
+            acknowledged_upto,
+            DOUBT_HOLD_WAIT_MS if has_doubtful_runs else HOLD_WAIT_MS,
         )
 
     def _keep_or_drop_worker(self, worker_id):
@@ -412,6 +422,7 @@
             self._end_fenced_term()
             return
         self._context.metrics.count("holds.failures")
+        self._dispatcher.handle_hold_failure(worker_id)
         self._hold_later(worker_id)
 
     def _hold_later(self, worker_id):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -11,6 +11,8 @@
     find_hanging_workers,
 )
 from knapweedshed.decisions.planning_units import UnitPlanner, UnitPlanningInput
+from knapweedshed.decisions.preemption_claims import PreemptionClaims
+from knapweedshed.decisions.silence import SilenceObserver
 from knapweedshed.decisions.speed_observer import SpeedObserver
 from knapweedshed.decisions.speeds import WorkerSpeeds
 from knapweedshed.decisions.takeover import adopt_launches
@@ -30,6 +32,7 @@
     ORDER_UNKNOWN,
     REASON_LATE,
     REASON_NO_CAPACITY,
+    REASON_NOT_SENT,
     REASON_OTHER_INCARNATION,
     REASON_STALE_RUN,
     REASON_UNHEALTHY,
@@ -45,20 +48,17 @@
 MAX_START_ATTEMPTS_COUNT = 3  # must fit in the time that a gang waits for its members
 SPEED_UPDATE_PERIOD_MS = 500
 FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
-# How long a unit goes first for the capacity that others were preempted to free: a stop
-# takes 200 ms, and a repeated one 1 s more.
-PREEMPTION_CLAIM_MS = 1_500
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
 NOT_STARTED_REASONS = (
     REASON_STALE_RUN,
     REASON_LATE,
     REASON_NO_CAPACITY,
+    REASON_NOT_SENT,
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
     REASON_OTHER_INCARNATION,
 )
 LOST_RUN_KINDS = (EndKind.FAILED, EndKind.LAPSED)
-WORKER_FAILURE_REASONS = (REASON_UNHEALTHY, REASON_UNREACHABLE)
 
 
 class Dispatcher:
@@ -71,6 +71,7 @@
         self._workers = {}
         self._unit_runs = adopt_launches(ledger, self._workers, limits, now_ms)
         self._unrecorded_ends = UnrecordedEnds()
+        self._silence_observer = SilenceObserver()
         self._configuration = None
         self._workers_listed = False
         self._speeds = WorkerSpeeds(
@@ -83,7 +84,7 @@
         self._speeds_updated_ms = now_ms
         self._capacity_changed = True
         self._waiting_since_ms = {}
-        self._preemption_claims = {}
+        self._preemption_claims = PreemptionClaims()
 
     @property
     def capacity_changed(self):
@@ -135,6 +136,8 @@
         if worker is None:
             return []
         accepted_work = worker.accepts_work(now_ms)
+        if self._silence_observer.note_answer(worker.entry):
+            self._capacity_changed = True
         removed_runs, ends, unassigned = worker.apply_hold_answer(
             answer, sent_ms, now_ms
         )
@@ -152,6 +155,12 @@
             )
         return orders
 
+    def handle_hold_failure(self, worker_id):
+        """Place nothing on a worker that didn't answer a hold, until it answers one."""
+        worker = self._workers.get(worker_id)
+        if worker is not None:
+            self._note_silence(worker)
+
     def handle_order_outcome(self, order, outcome, now_ms):
         """Apply the outcome of an order; return orders that follow.
 
@@ -160,6 +169,8 @@
         """
         worker = self._workers.get(order.worker_id)
         key = (order.task, order.run)
+        if worker is not None and _shows_silence(outcome):
+            self._note_silence(worker)
         assigned_run = worker.assigned_runs.get(key) if worker else None
         if assigned_run is None:
             return []
@@ -174,8 +185,10 @@
         if outcome.kind == ORDER_DONE:
             worker.assigned_runs[key] = assigned_run._replace(order_answered_ms=now_ms)
             return []
-        if outcome.reason in WORKER_FAILURE_REASONS:
+        if outcome.reason == REASON_UNHEALTHY:
             worker.record_failure(now_ms)
+        elif outcome.reason == REASON_UNREACHABLE:
+            self._avoid_worker(order.task, order.worker_id, now_ms)
         if outcome.reason in NOT_STARTED_REASONS and assigned_run.start_attempts == 1:
             del worker.assigned_runs[key]
             return self._handle_task_removal(order.task, order.run, None, now_ms)
@@ -283,11 +296,7 @@
             unit[:3]: self._waiting_since_ms.get(unit[:3], now_ms)
             for unit in waiting_units
         }
-        self._preemption_claims = {
-            unit: until_ms
-            for unit, until_ms in self._preemption_claims.items()
-            if until_ms > now_ms and unit not in self._unit_runs
-        }
+        self._preemption_claims.update(waiting_units, now_ms)
         if not waiting_units:
             return []
         plan = self._planner.plan(
@@ -303,13 +312,17 @@
                 self._avoided_workers,
                 now_ms,
                 wall_ms,
+                self._silence_observer.silent_data_centres,
             )
         )
         actions = []
         for preempted in plan.preempted:
             actions.append(preempted)
-            self._preemption_claims.setdefault(
-                preempted.preempting_unit, now_ms + PREEMPTION_CLAIM_MS
+            self._preemption_claims.add(
+                preempted.preempting_unit,
+                preempted.worker_ids,
+                preempted.lost_core_s,
+                now_ms,
             )
             for unit in preempted.units:
                 actions.extend(self._stop_unit_run(unit, now_ms))
@@ -335,6 +348,10 @@
         lease_end_clock_ms = worker.extend_lease(now_ms, self._limits.lease_ms)
         return lease_end_clock_ms, worker.last_acknowledgeable_end
 
+    def _note_silence(self, worker):
+        worker.is_silent = True
+        self._silence_observer.note_silence(worker.entry)
+
     def _assign_unit(self, unit, worker_ids, now_ms):
         """Assign the next run of a unit to workers; return its `Launched`."""
         progress = self._ledger.jobs[unit.job_id]
@@ -533,3 +550,10 @@
             ordered_ms=now_ms,
         )
         return StopRun(worker.worker_id, listed.task, listed.run)
+
+
+def _shows_silence(outcome):
+    """Return whether an order was sent and got no answer, or found no connection."""
+    if outcome.kind == ORDER_UNKNOWN:
+        return outcome.reason != REASON_NOT_SENT
+    return outcome.reason == REASON_UNREACHABLE
--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -1,5 +1,6 @@
 """Free capacity of the workers, as one planning pass allocates it."""
 
+from collections import Counter
 from typing import NamedTuple
 
 from knapweedshed.decisions.packing import (
@@ -28,7 +29,9 @@
 class FreeCapacity:
     """Capacity that is free now, and once all stops under way have ended."""
 
-    def __init__(self, workers, runs, speeds, avoided_workers, now_ms):
+    def __init__(
+        self, workers, runs, speeds, avoided_workers, now_ms, silent_data_centres=()
+    ):
         self._avoided_workers = avoided_workers
         self._now_ms = now_ms
         self._runs = runs
@@ -36,6 +39,7 @@
             worker_id: worker
             for worker_id, worker in workers.items()
             if worker.accepts_work(now_ms)
+            and worker.entry.data_centre not in silent_data_centres
         }
         self._traits = []
         self._free_now = {}
@@ -85,6 +89,22 @@
         self._subtract(waiting, chosen, from_free_now=False)
         return chosen
 
+    def allocate_at(self, waiting, worker_ids):
+        """Place the tasks of a unit at these workers; return whether they all fit."""
+        if not self._fits_at(waiting, worker_ids, self._free_now):
+            return False
+        if not self._fits_at(waiting, worker_ids, self._free_after_stops):
+            return False
+        self._subtract(waiting, worker_ids, from_free_now=True)
+        return True
+
+    def reserve_at(self, waiting, worker_ids):
+        """Reserve capacity that stops will free at these workers; return whether."""
+        if not self._fits_at(waiting, worker_ids, self._free_after_stops):
+            return False
+        self._subtract(waiting, worker_ids, from_free_now=False)
+        return True
+
     def workers_after_stops(self, waiting, min_speed=0.0, all_workers=False):
         """Return the `WorkerCapacity`s as they will be once all stops have ended.
 
@@ -131,6 +151,22 @@
                         worker_id
                     ].plus(assigned_run.need)
 
+    def _fits_at(self, waiting, worker_ids, free_by_worker):
+        """Return whether one task fits for each occurrence of a worker id."""
+        step = waiting.step
+        avoided = self._avoided_workers.get(waiting.units[0], {})
+        resident_tasks = self._resident_tasks_of(waiting)
+        for worker_id, count in Counter(worker_ids).items():
+            free = free_by_worker.get(worker_id)
+            if free is None or avoided.get(worker_id, 0) > self._now_ms:
+                return False
+            if free.copies_that_fit(step.need) < count:
+                return False
+            resident = resident_tasks.get(worker_id, 0)
+            if step.most_per_worker and resident + count > step.most_per_worker:
+                return False
+        return True
+
     def _worker_capacities(
         self, waiting, free_by_worker, limits, min_speed=0.0, all_workers=False
     ):
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -18,6 +18,8 @@
 # How long an urgent unit waits for fast workers: a stop takes 200 ms, and a guarantee
 # must be met after 2,700 ms.
 FAST_WORKER_WAIT_MS = 800
+# How long a guaranteed unit leaves the places that others have claimed to them.
+GUARANTEE_PATIENCE_MS = 1_000
 # How long a gang waits for a rack of its own while much of the service is idle. On
 # several racks it takes about three times as long.
 RACK_WAIT_MS = 1_500
@@ -38,15 +40,16 @@
     """State that a planning pass reads and doesn't change.
 
     `waiting_since_ms` has when each (job id, occurrence, step) was first seen waiting.
-    `preemption_claims` has the units that others were preempted for, and until when
-    they go first. `avoided_workers` has, for each unit, the workers that it avoids and
-    until when. `runs` has the `UnitRun`s by unit. Times are in milliseconds;
-    `wall_ms` is on the wall clock, the others are on the monotonic clock.
+    `preemption_claims` has the places that others were preempted for.
+    `avoided_workers` has, for each unit, the workers that it avoids and until when.
+    `runs` has the `UnitRun`s by unit. Nothing is placed in `silent_data_centres`. Times
+    are in milliseconds; `wall_ms` is on the wall clock, the others are on the monotonic
+    clock.
     """
 
     waiting_units: list
     waiting_since_ms: dict
-    preemption_claims: dict
+    preemption_claims: object
     ledger: object
     workers: dict
     runs: dict
@@ -55,6 +58,7 @@
     avoided_workers: dict
     now_ms: int
     wall_ms: int
+    silent_data_centres: frozenset = frozenset()
 
 
 class UnitPlanner:
@@ -88,6 +92,7 @@
             planning_input.speeds,
             planning_input.avoided_workers,
             planning_input.now_ms,
+            planning_input.silent_data_centres,
         )
         self._starts = []
         self._preempted = []
@@ -112,16 +117,20 @@
         return UnitPlan(tuple(self._starts), tuple(self._preempted))
 
     def _sort_key(self, waiting):
-        """Return a sort key: guaranteed, then units that others were preempted for.
+        """Return a sort key: units that others were preempted for, then guaranteed.
 
         Otherwise the preempted units would take the freed capacity again, as the unit
-        that they were stopped for may have become late in the meantime.
+        that they were stopped for may have become late in the meantime. Guaranteed
+        units that have waited for long go first of all.
         """
+        planning_input = self._planning_input
+        waited_ms = planning_input.now_ms - waiting.arrival_ms
+        overdue = waiting.guaranteed and waited_ms > GUARANTEE_PATIENCE_MS
         claimed = any(
-            unit in self._planning_input.preemption_claims for unit in waiting.units
+            unit in planning_input.preemption_claims for unit in waiting.units
         )
-        policy_key = self._ordering_policy.key(waiting, self._planning_input.now_ms)
-        return (not waiting.guaranteed, not claimed, policy_key)
+        policy_key = self._ordering_policy.key(waiting, planning_input.now_ms)
+        return (not overdue, not claimed, not waiting.guaranteed, policy_key)
 
     def _place_step(self, waiting):
         """Place the units of a step; those that avoid workers one at a time."""
@@ -155,6 +164,8 @@
 
     def _place_unit(self, waiting, avoids_workers):
         """Place one unit if it fits; preempt for it if it is urgent."""
+        if self._place_at_claim(waiting):
+            return
         placement_key = (waiting.step, waiting.count, avoids_workers)
         multi_rack = self._rack_capacities.needs_multiple_racks(waiting)
         if placement_key not in self._no_room:
@@ -169,6 +180,15 @@
         if self._may_use_several_racks(waiting):
             self._add_start(waiting, self._capacity.allocate(waiting, True))
 
+    def _place_at_claim(self, waiting):
+        """Use or reserve the place that a unit has claimed; return whether it can."""
+        worker_ids = self._planning_input.preemption_claims.place(waiting.units[0])
+        if not worker_ids:
+            return False
+        if self._capacity.allocate_at(waiting, worker_ids):
+            return self._add_start(waiting, worker_ids)
+        return self._capacity.reserve_at(waiting, worker_ids)
+
     def _may_use_several_racks(self, waiting):
         """Return whether a gang has waited for one rack while much is idle.
 
@@ -222,8 +242,7 @@
         )
         if not victims:
             return False
-        self._preempt(waiting, victims)
-        self._capacity.reserve(waiting, multi_rack, min_speed)
+        self._preempt(waiting, victims, multi_rack, min_speed)
         return True
 
     def _place_by_preemption(self, waiting, multi_rack):
@@ -242,28 +261,36 @@
         if not victims:
             self._no_victims.add(preemption_key)
             return False
-        self._preempt(waiting, victims)
-        self._capacity.reserve(waiting, multi_rack)
+        self._preempt(waiting, victims, multi_rack)
         return True
 
     def _choose_victims(self, waiting, workers, multi_rack, max_cost):
+        """Return victims that cost `max_cost` core-seconds at most, or None.
+
+        What earlier preemptions for the unit have cost counts too.
+        """
+        claims = self._planning_input.preemption_claims
         return choose_victims(
             waiting.step,
             waiting.count,
             workers,
             self._candidates_below(waiting.priority),
             multi_rack,
-            max_cost,
+            max_cost - claims.lost_core_s(waiting.units[0]),
         )
 
-    def _preempt(self, waiting, victims):
+    def _preempt(self, waiting, victims, multi_rack, min_speed=0.0):
+        """Preempt units, and reserve the capacity that this frees."""
         units = tuple(victim.unit for victim in victims)
         lost_core_s = sum(victim.cost for victim in victims)
-        self._preempted.append(
-            Preempted(units, waiting.units[0], waiting.guaranteed, lost_core_s)
-        )
         self._preempted_units.update(units)
         self._capacity.release_preempted(units)
+        worker_ids = self._capacity.reserve(waiting, multi_rack, min_speed)
+        self._preempted.append(
+            Preempted(
+                units, waiting.units[0], waiting.guaranteed, lost_core_s, worker_ids
+            )
+        )
 
     def _avoids_workers(self, unit):
         until_ms = self._planning_input.avoided_workers.get(unit)
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -77,6 +77,7 @@
 
     `entry` is its entry in the platform's list of workers, or None if not listed. Keys
     of `assigned_runs` are (task, run); keys of `unrecorded_ends` are end numbers.
+    `is_silent` means that the last hold or order got no answer.
     """
 
     def __init__(self, worker_id, incarnation, lease_expiry_ms, lease_ms):
@@ -86,6 +87,7 @@
         self.assigned_runs = {}
         self.has_answered = False
         self.last_answer_ms = -1
+        self.is_silent = False
         self.last_end_number = 0
         self.unrecorded_ends = {}
         self.quarantined_until_ms = 0
@@ -103,6 +105,17 @@
             return min(self.unrecorded_ends) - 1
         return self.last_end_number
 
+    @property
+    def has_doubtful_runs(self):
+        """Return whether a run is to be stopped that may never have started.
+
+        No end of it may ever be listed; only a list without it tells that it is gone.
+        """
+        return any(
+            assigned_run.phase == RunPhase.STOPPING and not assigned_run.reported
+            for assigned_run in self.assigned_runs.values()
+        )
+
     def free_capacity(self):
         """Return the capacity that no assigned run uses."""
         return self.entry.capacity.minus(total_need(self.assigned_runs.values()))
@@ -121,6 +134,7 @@
             self.entry is not None
             and self.has_answered
             and not self.entry.draining
+            and not self.is_silent
             and now_ms - self.last_answer_ms < MAX_ANSWER_AGE_MS
             and now_ms >= self.quarantined_until_ms
         )
@@ -198,6 +212,7 @@
             self._lease_end_clock_ms = answer.clock_ms + self._lease_ms
         self.has_answered = True
         self.last_answer_ms = now_ms
+        self.is_silent = False
         self._worker_clock_ms = answer.clock_ms
         self._worker_clock_read_ms = now_ms
         self._update_lease_expiry()
--- a/knapweedshed/links/worker_links.py
+++ b/knapweedshed/links/worker_links.py
@@ -5,6 +5,7 @@
 from knapweedshed.links.worker_connections import WorkerConnections
 
 HOLD_WAIT_MS = 1_000  # leases last some seconds and must be renewed several times
+DOUBT_HOLD_WAIT_MS = 100  # while a list must tell whether a run exists
 HOLD_RETRY_DELAY_MS = 200
 
 
@@ -52,13 +53,15 @@
         if self._addresses.pop(worker_id, None) is not None:
             tell(self._connections, CloseWorker(worker_id))
 
-    def hold(self, worker_id, fence, deadline_ms, acknowledged_upto):
-        """Hold a worker now.
+    def hold(
+        self, worker_id, fence, deadline_ms, acknowledged_upto, max_wait_ms=HOLD_WAIT_MS
+    ):
+        """Hold a worker now; it answers after an end or `max_wait_ms`.
 
         Without a deadline (0), as while the worker's clock is not known yet, the worker
         answers at once and renews nothing.
         """
-        wait_ms = HOLD_WAIT_MS if deadline_ms else 0
+        wait_ms = max_wait_ms if deadline_ms else 0
         tell(
             self._connections,
             HoldRequest(worker_id, fence, deadline_ms, acknowledged_upto, wait_ms),
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -43,13 +43,15 @@
 class Preempted(NamedTuple):
     """Units were preempted for another; `lost_core_s` is the work lost by it.
 
-    `guaranteed` tells whether the preempting unit runs under a guarantee.
+    `guaranteed` tells whether the preempting unit runs under a guarantee; `worker_ids`
+    has the worker of each of its tasks, once the stops have ended.
     """
 
     units: tuple[Unit, ...]
     preempting_unit: Unit
     guaranteed: bool
     lost_core_s: float
+    worker_ids: tuple[str, ...] = ()
 
 
 class RunLost(NamedTuple):
@@ -89,3 +91,4 @@
 REASON_UNHEALTHY = "unhealthy"
 REASON_OTHER_INCARNATION = "other incarnation"
 REASON_UNREACHABLE = "unreachable"
+REASON_NOT_SENT = "not sent: no recent answer from the log"
