Halve what a host imports; act on nothing that is stale; soak of real hosts

Change: BlockingConnection (httptools) for the store, a text of our own for the metrics, argparse for the daemons' flags, os.environ.

Change: nothing is placed by a list older than 1.2 s, and a launch that is read back more than 1.2 s after its decision is not started.

Ruled out: prometheus_client without its exposition (its package imports it in any case).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV = .venv
 BIN = $(VENV)/bin
 
-.PHONY: install run test lint format measure measure-work capacity capacity-hosts clean
+.PHONY: install run test lint format measure measure-work capacity capacity-hosts soak clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -41,5 +41,10 @@
 capacity-hosts: install
 	$(BIN)/python scripts/capacity_hosts.py
 
+FIRST = 1
+JOBS = 2
+soak: install
+	$(BIN)/python -m scripts.soak --seeds=$(SEEDS) --first=$(FIRST) --jobs=$(JOBS)
+
 clean:
 	rm -rf $(VENV) .run
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -48,6 +48,10 @@
 MAX_START_ATTEMPTS_COUNT = 3  # must fit in the time that a gang waits for its members
 SPEED_UPDATE_PERIOD_MS = 500
 FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
+# Workers that leave must get no new work 2 s after the platform has listed them so. The
+# list is read each 300 ms, by a slow store in 550 ms.
+MAX_LIST_AGE_MS = 1_200
+MAX_LAUNCH_AGE_MS = 1_200  # a launch that is read back later is not started
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
 NOT_STARTED_REASONS = (
     REASON_STALE_RUN,
@@ -73,7 +77,7 @@
         self._unrecorded_ends = UnrecordedEnds()
         self._silence_observer = SilenceObserver()
         self._configuration = None
-        self._workers_listed = False
+        self._workers_listed_ms = None
         self._speeds = WorkerSpeeds(
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
         )
@@ -107,7 +111,7 @@
 
     def update_workers(self, entries, now_ms):
         """Apply the platform's complete list of workers; return orders."""
-        self._workers_listed = True
+        self._workers_listed_ms = now_ms
         self._planner.update_workers(entries)
         listed = set()
         orders = []
@@ -230,6 +234,7 @@
             unit_run = self._unit_runs.get(launched.unit)
             if unit_run is None or unit_run.run != launched.run or unit_run.launched:
                 continue
+            is_late = now_ms - unit_run.started_ms > MAX_LAUNCH_AGE_MS
             self._unit_runs[launched.unit] = unit_run._replace(
                 launched=True, started_ms=now_ms
             )
@@ -238,7 +243,7 @@
                 assigned_runs[task, unit_run.run] = assigned_runs[
                     task, unit_run.run
                 ]._replace(ordered_ms=now_ms)
-            if unit_run.ending:
+            if unit_run.ending or is_late:
                 self._discard_unit_run(launched.unit)
             else:
                 orders.extend(self._start_orders(unit_run, now_ms))
@@ -282,7 +287,7 @@
     def plan(self, now_ms, wall_ms):
         """Return the preemptions with their stops, and the launches to record."""
         self._capacity_changed = False
-        if self._configuration is None or not self._workers_listed:
+        if self._configuration is None or not self._is_list_recent(now_ms):
             return []
         with_unrecorded_end = {
             self._unit_of(task) for task in self._unrecorded_ends.tasks()
@@ -348,6 +353,12 @@
         lease_end_clock_ms = worker.extend_lease(now_ms, self._limits.lease_ms)
         return lease_end_clock_ms, worker.last_acknowledgeable_end
 
+    def _is_list_recent(self, now_ms):
+        """Return whether the list of workers is new enough to place work by it."""
+        if self._workers_listed_ms is None:
+            return False
+        return now_ms - self._workers_listed_ms <= MAX_LIST_AGE_MS
+
     def _note_silence(self, worker):
         worker.is_silent = True
         self._silence_observer.note_silence(worker.entry)
--- a/knapweedshed/links/http_client.py
+++ b/knapweedshed/links/http_client.py
@@ -1,29 +1,20 @@
 """HTTP client whose failures tell whether the request can have taken effect."""
 
-from typing import NamedTuple
 from urllib.parse import urlencode
 
 import urllib3
 
 from knapweedshed.clock import MS_PER_SECOND
+from knapweedshed.links.http_messages import MAX_IDLE_MS, Response
 from knapweedshed.models.outcomes import NoAnswer, NotSent, Refused
 
 CONNECT_TIMEOUT_MS = 1_000
 READ_MARGIN_MS = 1_000
-MAX_IDLE_MS = 10_000
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 HTTP_UNAVAILABLE = 503
 
 
-class Response(NamedTuple):
-    """An HTTP response with its whole body."""
-
-    status: int
-    headers: object
-    body: bytes
-
-
 class HttpClient:
     """Keeps the connection to one address; for use by one thread.
 
--- a/knapweedshed/links/http_connection.py
+++ b/knapweedshed/links/http_connection.py
@@ -5,13 +5,14 @@
 import selectors
 import socket
 
-import httptools
-
-from knapweedshed.links.http_client import MAX_IDLE_MS, Response
+from knapweedshed.links.http_messages import (
+    MAX_IDLE_MS,
+    HttpParseError,
+    ResponseParser,
+)
 from knapweedshed.models.outcomes import NoAnswer, NotSent
 
 RECEIVE_BUFFER_BYTES = 65_536
-MAX_RESPONSE_BYTES = 8_000_000  # a peer that sends more is broken
 READ_AND_WRITE = selectors.EVENT_READ | selectors.EVENT_WRITE
 
 
@@ -35,7 +36,7 @@
         self._any_sent = False
         self._outgoing = b""
         self._last_used_ms = 0
-        self._reset_response()
+        self._parser = None
 
     @property
     def connecting(self):
@@ -78,7 +79,7 @@
                 self._write()
             if events & selectors.EVENT_READ:
                 return self._read()
-        except (OSError, httptools.HttpParserError) as error:
+        except (OSError, HttpParseError) as error:
             return self._fail(error)
         return None
 
@@ -87,8 +88,7 @@
         return self._fail("timed out")
 
     def _open(self):
-        self._reset_response()
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = ResponseParser()
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setblocking(False)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -128,19 +128,11 @@
             return self._fail("the peer closed the connection")
         if not self._in_exchange:
             return self._fail("data outside of an exchange")
-        self._parser.feed_data(data)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            return self._fail(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
-        return self._take_response() if self._complete else None
-
-    def _take_response(self):
-        response = Response(
-            self._parser.get_status_code(), self._headers, b"".join(self._body)
-        )
-        keep_alive = self._keep_alive
+        response = self._parser.feed(data)
+        if response is None:
+            return None
         self._in_exchange = False
-        self._reset_response()
-        if not keep_alive:
+        if not self._parser.keep_alive:
             self.close()
         return response
 
@@ -152,34 +144,3 @@
             return None
         text = str(reason)[:200]
         return NoAnswer(text) if any_sent else NotSent(text)
-
-    def _reset_response(self):
-        self._headers = {}
-        self._body = []
-        self._body_bytes = 0
-        self._complete = False
-        self._keep_alive = False
-
-    # httptools calls the following methods while it parses a response.
-
-    def on_header(self, name, value):
-        """Keep a header of the response."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_body(self, data):
-        """Keep a part of the response's body."""
-        self._body_bytes += len(data)
-        self._body.append(data)
-
-    def on_message_complete(self):
-        """Note that the response is complete; only now the parser knows the rest."""
-        self._complete = True
-        self._keep_alive = self._parser.should_keep_alive()
-
-
-def encode_request(path, address, headers, body):
-    """Return the bytes of a POST request; `headers` are (name, value) pairs."""
-    lines = [f"POST {path} HTTP/1.1", f"Host: {address}"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/knapweedshed/links/http_platform.py
+++ b/knapweedshed/links/http_platform.py
@@ -1,7 +1,8 @@
 """Platform adapter for the HTTP and JSON protocol of `knapweedshed-standin`."""
 
 from knapweedshed.codecs import json_text
-from knapweedshed.links.http_client import HttpClient, Response
+from knapweedshed.links.http_client import HttpClient
+from knapweedshed.links.http_messages import Response
 from knapweedshed.links.platform import (
     HostList,
     LogService,
--- a/knapweedshed/links/worker_connections.py
+++ b/knapweedshed/links/worker_connections.py
@@ -18,7 +18,8 @@
     OrderRequest,
     OrderResponse,
 )
-from knapweedshed.links.http_connection import HttpConnection, encode_request
+from knapweedshed.links.http_connection import HttpConnection
+from knapweedshed.links.http_messages import encode_request
 from knapweedshed.links.selector_inbox import SelectorInbox, SocketReady
 
 CONNECT_TIMEOUT_MS = 500
@@ -166,7 +167,7 @@
             self._sent_ms = self._context.clock.now_ms()
             call = self._encode(self._current)
             data = encode_request(
-                call.path, self._entry.address, call.headers, call.body
+                "POST", call.path, self._entry.address, call.headers, call.body
             )
             failure = self._connection.send(data, self._sent_ms)
             if failure is not None:
--- a/knapweedshed/metrics.py
+++ b/knapweedshed/metrics.py
@@ -1,9 +1,11 @@
 """Metrics for statsd and Prometheus; docs/OPERATIONS.md lists their names."""
 
+import threading
 from abc import ABC, abstractmethod
+from bisect import bisect_left
 from collections import Counter
+from itertools import accumulate
 
-import prometheus_client
 import statsd
 
 PREFIX = "knapweedshed"
@@ -79,39 +81,39 @@
 
 
 class PrometheusMetrics(Metrics):
-    """Passes each report on to `inner`, and keeps it for a Prometheus endpoint."""
+    """Passes each report on to `inner`, and keeps it for a Prometheus endpoint.
+
+    prometheus_client itself imports a TLS library and an HTTP server, which take 7 MB
+    of each host.
+    """
 
     def __init__(self, inner):
         self._inner = inner
-        self._registry = prometheus_client.CollectorRegistry()
-        self._counts = prometheus_client.Counter(
-            f"{PREFIX}_events", "What was counted", ("name",), registry=self._registry
-        )
-        self._timings = prometheus_client.Histogram(
-            f"{PREFIX}_duration_ms",
-            "How long it took, in milliseconds",
-            ("name",),
-            buckets=BUCKETS_MS,
-            registry=self._registry,
-        )
-        self._gauges = prometheus_client.Gauge(
-            f"{PREFIX}_value", "What it is now", ("name",), registry=self._registry
-        )
+        self._lock = threading.Lock()
+        self._counts = Counter()
+        self._histograms = {}
+        self._gauges = {}
 
     def count(self, name, by=1):
         """Add `by` to counter `name`."""
-        self._inner.count(name, by)
-        self._counts.labels(name).inc(by)
+        with self._lock:
+            self._inner.count(name, by)
+            self._counts[name] += by
 
     def timing(self, name, value_ms):
         """Report a duration in milliseconds."""
-        self._inner.timing(name, value_ms)
-        self._timings.labels(name).observe(value_ms)
+        with self._lock:
+            self._inner.timing(name, value_ms)
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = self._histograms[name] = Histogram()
+            histogram.observe(value_ms)
 
     def gauge(self, name, value):
         """Report a current value."""
-        self._inner.gauge(name, value)
-        self._gauges.labels(name).set(value)
+        with self._lock:
+            self._inner.gauge(name, value)
+            self._gauges[name] = value
 
     def snapshot(self):
         """Return what was counted since the start, for the state dump."""
@@ -119,7 +121,59 @@
 
     def exposition_text(self):
         """Return all metrics in the Prometheus text format, as bytes."""
-        return prometheus_client.generate_latest(self._registry)
+        with self._lock:
+            lines = [
+                *_describe(f"{PREFIX}_events_total", "counter", "What was counted")
+            ]
+            for name, value in sorted(self._counts.items()):
+                lines.append(_sample(f"{PREFIX}_events_total", value, name=name))
+            family = f"{PREFIX}_duration_ms"
+            lines += _describe(family, "histogram", "How long it took, in milliseconds")
+            for name, histogram in sorted(self._histograms.items()):
+                lines += histogram.samples(family, name)
+            lines += _describe(f"{PREFIX}_value", "gauge", "What it is now")
+            for name, value in sorted(self._gauges.items()):
+                lines.append(_sample(f"{PREFIX}_value", value, name=name))
+        return "".join(f"{line}\n" for line in lines).encode()
+
+
+class Histogram:
+    """Counts durations by the buckets of `BUCKETS_MS`, and adds them up."""
+
+    def __init__(self):
+        self._counts = [0] * (len(BUCKETS_MS) + 1)
+        self._sum_ms = 0.0
+
+    def observe(self, value_ms):
+        """Count a duration in milliseconds."""
+        self._counts[bisect_left(BUCKETS_MS, value_ms)] += 1
+        self._sum_ms += value_ms
+
+    def samples(self, family, name):
+        """Return the lines of the Prometheus text format; buckets are cumulative."""
+        totals = list(accumulate(self._counts))
+        limits = [*(f"{limit:.1f}" for limit in BUCKETS_MS), "+Inf"]
+        lines = [
+            _sample(f"{family}_bucket", total, le=limit, name=name)
+            for limit, total in zip(limits, totals, strict=True)
+        ]
+        lines.append(_sample(f"{family}_count", totals[-1], name=name))
+        lines.append(_sample(f"{family}_sum", self._sum_ms, name=name))
+        return lines
+
+
+def _describe(family, kind, help_text):
+    return (f"# HELP {family} {help_text}", f"# TYPE {family} {kind}")
+
+
+def _sample(metric, value, **labels):
+    pairs = ",".join(f'{key}="{_escape(text)}"' for key, text in labels.items())
+    return f"{metric}{{{pairs}}} {float(value)}"
+
+
+def _escape(text):
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
 
 
 def create_metrics(address, role):
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 from knapweedshed.codecs import json_text
-from knapweedshed.links.http_client import HttpClient, Response
+from knapweedshed.links.blocking_connection import BlockingConnection
+from knapweedshed.links.http_messages import Response
 from knapweedshed.links.platform import LogService
 from knapweedshed.models.outcomes import LogPage, NoAnswer, Refused, StoredRecord
 
@@ -51,7 +52,7 @@
     """Client of the store over one connection; for use by one thread."""
 
     def __init__(self, clock, address):
-        self._client = HttpClient(clock, address, CONNECT_TIMEOUT_MS, read_margin_ms=0)
+        self._client = BlockingConnection(clock, address, CONNECT_TIMEOUT_MS)
         self._append_timeout_ms = APPEND_TIMEOUT_MS
 
     def close(self):
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -1,7 +1,7 @@
 """Codec of the platform's task runners, which are the scheduler's workers."""
 
 from knapweedshed.codecs import json_text
-from knapweedshed.links.http_client import Response
+from knapweedshed.links.http_messages import Response
 from knapweedshed.links.service import WorkerCall, WorkerCodec
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
--- a/knapweedshed/programs/daemon.py
+++ b/knapweedshed/programs/daemon.py
@@ -1,13 +1,12 @@
 """Common parts of all daemons: flags, settings, logs, signals and exit status."""
 
+import argparse
 import os
 import signal
 import sys
 import threading
 from abc import ABC, abstractmethod
 
-import fire
-
 from knapweedshed import __version__
 from knapweedshed.codecs import json_text
 from knapweedshed.codecs.catalogue import register_all
@@ -51,12 +50,7 @@
     if "--help" in arguments or "-h" in arguments:
         print(_help_text(program, description, specification))
         return ExitStatus.SUCCESS
-    flags = {}
-
-    def read_flags(**parsed_flags):
-        flags.update(parsed_flags)
-
-    fire.Fire(read_flags, command=arguments, name=program)
+    flags = parse_flags(program, specification, arguments)
     signal_handler = SignalHandler()
     signal_handler.start()
     try:
@@ -104,6 +98,23 @@
     return ExitStatus.SUCCESS
 
 
+def parse_flags(program, specification, arguments):
+    """Return the flags by setting name, unknown ones included.
+
+    Fire, which the client uses, imports asyncio and with it a TLS library: 6 MB of each
+    host.
+    """
+    parser = argparse.ArgumentParser(program, add_help=False, allow_abbrev=False)
+    for setting in specification:
+        flag = setting.name.replace("_", "-")
+        parser.add_argument(f"--{flag}", f"--{setting.name}", dest=setting.name)
+    known, unknown = parser.parse_known_args(arguments)
+    flags = {name: text for name, text in vars(known).items() if text is not None}
+    for argument in unknown:
+        flags[argument.lstrip("-").partition("=")[0].replace("-", "_")] = argument
+    return flags
+
+
 class SignalHandler:
     """Records the requests that signals make.
 
--- a/knapweedshed/settings.py
+++ b/knapweedshed/settings.py
@@ -1,10 +1,9 @@
 """Settings of the daemons: flags override the environment, which overrides defaults."""
 
 import ipaddress
+import os
 from typing import Any, NamedTuple
 
-from environs import Env
-
 from knapweedshed.logs import LOG_LEVELS
 
 ENVIRONMENT_PREFIX = "KNAPWEEDSHED_"
@@ -55,7 +54,7 @@
 
 def load_settings(specification, flags, environment=None):
     """Return validated Settings; raises SettingsError with one line per error."""
-    env = environment or Env()
+    environment = os.environ if environment is None else environment
     errors = []
     known = {setting.name for setting in specification}
     for name in sorted(set(flags) - known):
@@ -64,7 +63,7 @@
     for setting in specification:
         text = flags.get(setting.name)
         if text is None:
-            text = env.str(ENVIRONMENT_PREFIX + setting.name.upper(), None)
+            text = environment.get(ENVIRONMENT_PREFIX + setting.name.upper())
         if text is None:
             text = setting.default
         flag = f"--{setting.name.replace('_', '-')}"
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -137,8 +137,7 @@
                 arrival.at_ms + LOG_ROUND_TRIP_MS, self._accept_job, arrival
             )
         self._schedule_at(0, self._tick)
-        entries = tuple(worker.entry for worker in self._day.workers)
-        self._perform(self._dispatcher.update_workers(entries, 0))
+        self._read_worker_list()
         for worker_id in self._workers:
             self._schedule_at(ONE_WAY_DELAY_MS, self._answer_hold, worker_id, 0)
         while self._events and self._events[0][0] <= end_ms:
@@ -167,7 +166,12 @@
                 self._closed_jobs.setdefault(job_id, (self._now_ms, progress.state))
         return changed_jobs
 
+    def _read_worker_list(self):
+        entries = tuple(worker.entry for worker in self._day.workers)
+        self._perform(self._dispatcher.update_workers(entries, self._now_ms))
+
     def _tick(self):
+        self._read_worker_list()
         self._perform(self._dispatcher.tick(self._now_ms))
         self._schedule_plan()
         self._schedule_after(TICK_MS, self._tick)
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -81,7 +81,8 @@
 
     Orders to workers in `lossy` are lost; workers in `unreachable` get neither orders
     nor holds. `started` and `stopped` are the orders sent, in order, and `records` the
-    other actions. `now_ms` serves as both the monotonic and the wall clock.
+    other actions. Plans read the list of workers while it is `list_readable`. `now_ms`
+    serves as both the monotonic and the wall clock.
     """
 
     def __init__(self, workers=2, entries=None):
@@ -92,6 +93,7 @@
         self.running = {entry.worker_id: {} for entry in self.entries}
         self.ended = {entry.worker_id: [] for entry in self.entries}
         self.last_end_numbers = {entry.worker_id: 0 for entry in self.entries}
+        self.list_readable = True
         self.lossy = set()
         self.unreachable = set()
         self.started = []
@@ -138,7 +140,9 @@
         self.plan()
 
     def plan(self):
-        """Record ends that are due, and run one planning pass."""
+        """Read the list of workers, record ends that are due, and plan once."""
+        if self.list_readable:
+            self.apply_worker_list()
         self.apply_actions(self.dispatcher.take_end_records(self.now_ms))
         self.apply_actions(self.dispatcher.plan(self.now_ms, self.now_ms))
 
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,495 @@
+"""A soak of `knapweedshed-host`: real processes under random faults, by a seed.
+
+Faults come from outside of the processes: signals, a loopback proxy, a store that is
+down or loses answers, workers that restart, leave or go silent. They overlap. While
+they last, workers and callers check the promises; once they have ended, all accepted
+jobs must end.
+"""
+
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from typing import NamedTuple
+
+import urllib3
+import yaml
+
+from tests.fleet_standin import FakeStore
+from tests.ports import server_ports
+from tests.proxy import Fault, Proxy
+from tests.soak_workers import SoakWorkers, now_ms
+from tests.test_fleet_platform import CONFIGURATION, SETTINGS
+
+HOST_COUNT = 3
+WORKER_COUNT = 6
+CLIENT_COUNT = 3
+START_TIMEOUT_S = 20
+FAULT_PERIOD_S = 1.2  # mean time between the beginnings of two faults
+# A takeover, a lease, the longest jobs of the soak, and a busy machine.
+SETTLE_TIMEOUT_S = 45
+REQUEST_TIME_S = 3
+CONFIG_MS = 2_000
+STOP_TIMEOUT_S = 10
+IMPORT_TIME_S = 5  # a signal that arrives earlier may end the interpreter itself
+NOT_ACCEPTED = (429, 503)
+
+
+class SoakReport(NamedTuple):
+    """What one seed gave: broken promises, the faults by kind, and counts."""
+
+    seed: int
+    broken: tuple[str, ...]
+    faults: dict[str, int]
+    submitted: int
+    accepted: int
+    completed: int
+
+
+class SoakHost:
+    """One host process at its own proxied path to the store."""
+
+    def __init__(self, name, proxy, store, folder, ports):
+        self.name = name
+        self.store_port = next(ports)
+        self.front = f"127.0.0.1:{next(ports)}"
+        self._folder = folder
+        proxy.forward(self.store_port, int(store.address.rpartition(":")[2]))
+        settings = {
+            **SETTINGS,
+            "node": name,
+            "listen": {"front": self.front, "ready": f"127.0.0.1:{next(ports)}"},
+            "platform": {"addr": f"127.0.0.1:{self.store_port}", "keep_s": 300},
+        }
+        self._settings_path = os.path.join(folder, f"{name}.yaml")
+        with open(self._settings_path, "w", encoding="utf-8") as file:
+            yaml.safe_dump(settings, file)
+        self.process = None
+        self.started_s = 0.0
+
+    def start(self):
+        """Start the process, whose log file grows over restarts."""
+        self.started_s = time.monotonic()
+        with open(os.path.join(self._folder, f"{self.name}.log"), "a") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "knapweedshed.programs.host"],
+                env={**os.environ, "KNAPWEEDSHED_CONFIG": self._settings_path},
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self, signal_number=signal.SIGKILL):
+        """End the process with a signal; it is killed if that takes too long."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal_number)
+        try:
+            return self.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+            return None
+
+
+class Soak:
+    """One run of the soak."""
+
+    def __init__(self, seed, folder):
+        self._random = random.Random(seed)
+        self._seed = seed
+        self._proxy = Proxy()
+        self._ports = server_ports()
+        self._store = FakeStore(next(self._ports))
+        self._store.put("keyed.op", "config", CONFIGURATION)
+        self._workers = SoakWorkers(self._store)
+        self._hosts = [
+            SoakHost(f"edge-{n}", self._proxy, self._store, folder, self._ports)
+            for n in range(HOST_COUNT)
+        ]
+        self._worker_ports = {}
+        self._next_worker = 0
+        self._faults = {}
+        self._restorations = []
+        self._broken = []
+        self._answers = {}
+        self._completed = set()
+        self._cancelled = set()
+        self._lock = threading.Lock()
+        self._stop_submitting = threading.Event()
+        self._version = CONFIGURATION["version"]
+        self._revoked = {}
+
+    def run(self, duration_s):
+        """Play faults for `duration_s`, let the system settle; return a report."""
+        self._proxy.start()
+        self._workers.start()
+        for _ in range(WORKER_COUNT):
+            self._add_worker()
+        for host in self._hosts:
+            host.start()
+        clients = [
+            threading.Thread(target=self._submit_jobs, args=(number,), daemon=True)
+            for number in range(CLIENT_COUNT)
+        ]
+        try:
+            if not self._wait_until_served():
+                self._broken.append("START: no job is accepted")
+            else:
+                for client in clients:
+                    client.start()
+                self._play_faults(duration_s)
+                self._stop_submitting.set()
+                for client in clients:
+                    client.join()
+                self._check_end()
+        finally:
+            self._stop_submitting.set()
+            for host in self._hosts:
+                host.stop(signal.SIGCONT)
+            self._workers.close()
+            self._proxy.close()
+            self._store.close()
+        return self._report()
+
+    def _report(self):
+        accepted = [job_id for job_id, codes in self._answers.items() if 200 in codes]
+        return SoakReport(
+            self._seed,
+            tuple(dict.fromkeys([*self._broken, *self._workers.broken])),
+            self._faults,
+            len(self._answers),
+            len(accepted),
+            len(self._completed),
+        )
+
+    def _add_worker(self):
+        name = f"i-{('tunis', 'sfax')[self._next_worker % 2]}-{self._next_worker}"
+        self._next_worker += 1
+        port, listed_port = next(self._ports), next(self._ports)
+        self._proxy.forward(listed_port, port)
+        self._worker_ports[name] = listed_port
+        self._workers.add(name, port, listed_port)
+
+    def _wait_until_served(self):
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        rng = random.Random(f"{self._seed}/first")
+        while time.monotonic() < deadline_s:
+            if self._submit(rng) == 200:
+                return True
+            time.sleep(0.2)
+        return False
+
+    # Faults
+
+    def _play_faults(self, duration_s):
+        end_s = time.monotonic() + duration_s
+        faults = (
+            self._kill_host,
+            self._pause_host,
+            self._restart_host,
+            self._cut_host,
+            self._silence_connections,
+            self._take_store_down,
+            self._lose_appends,
+            self._cut_worker,
+            self._restart_worker,
+            self._drain_worker,
+            self._write_garbage,
+            self._revoke_key,
+        )
+        while time.monotonic() < end_s:
+            fault = self._random.choice(faults)
+            name = fault.__name__.strip("_")
+            self._faults[name] = self._faults.get(name, 0) + 1
+            fault()
+            time.sleep(self._random.expovariate(1 / FAULT_PERIOD_S))
+            self._restore_due(time.monotonic())
+        self._restore_due(float("inf"))
+
+    def _restore_later(self, after_s, restore):
+        self._restorations.append((time.monotonic() + after_s, restore))
+
+    def _restore_due(self, now_s):
+        due = [restore for at_s, restore in self._restorations if at_s <= now_s]
+        self._restorations = [item for item in self._restorations if item[0] > now_s]
+        for restore in due:
+            restore()
+
+    def _running_host(self):
+        running = [host for host in self._hosts if host.process.poll() is None]
+        return self._random.choice(running) if running else None
+
+    def _kill_host(self):
+        host = self._running_host()
+        if host:
+            host.stop()
+            self._restore_later(self._random.uniform(0.2, 2.0), host.start)
+
+    def _pause_host(self):
+        host = self._running_host()
+        if host:
+            process = host.process
+            process.send_signal(signal.SIGSTOP)
+            resume_s = self._random.uniform(0.5, 8.0)
+            self._restore_later(resume_s, lambda: _resume(process))
+
+    def _restart_host(self):
+        host = self._running_host()
+        if host:
+            _resume(host.process)
+            handles_signals = time.monotonic() - host.started_s > IMPORT_TIME_S
+            status = host.stop(signal.SIGTERM)
+            if status != 0 and handles_signals:
+                self._broken.append(f"STOP: {host.name} ended with status {status}")
+            self._restore_later(self._random.uniform(0.0, 1.0), host.start)
+
+    def _set_fault(self, ports, kinds, longest_s):
+        fault = self._random.choice(kinds)
+        self._proxy.set_fault(ports, fault)
+        self._restore_later(
+            self._random.uniform(0.5, longest_s),
+            lambda: self._proxy.set_fault(ports, Fault.NONE),
+        )
+
+    def _cut_host(self):
+        host = self._random.choice(self._hosts)
+        kinds = (Fault.CUT, Fault.FREEZE, Fault.DROP_RESPONSES, Fault.DROP_REQUESTS)
+        self._set_fault([host.store_port], kinds, 7.0)
+
+    def _cut_worker(self):
+        names = self._random.sample(sorted(self._worker_ports), 2)
+        ports = [self._worker_ports[name] for name in names]
+        kinds = (Fault.CUT, Fault.FREEZE, Fault.DROP_RESPONSES, Fault.DROP_REQUESTS)
+        self._set_fault(ports, kinds, 8.0)
+
+    def _silence_connections(self):
+        ports = [host.store_port for host in self._hosts]
+        self._proxy.set_fault([*ports, *self._worker_ports.values()], Fault.FREEZE_OPEN)
+
+    def _take_store_down(self):
+        self._store.down = True
+        self._restore_later(
+            self._random.uniform(0.3, 4.0), lambda: setattr(self._store, "down", False)
+        )
+
+    def _lose_appends(self):
+        self._store.append_responses_to_drop += self._random.randint(1, 4)
+
+    def _restart_worker(self):
+        self._workers.restart(self._random.choice(sorted(self._worker_ports)))
+
+    def _drain_worker(self):
+        name = self._random.choice(sorted(self._worker_ports))
+        del self._worker_ports[name]
+        self._workers.drain(name)
+        self._restore_later(
+            self._random.uniform(3.0, 6.0), lambda: self._workers.remove(name)
+        )
+        self._add_worker()
+
+    def _write_garbage(self):
+        garbage = (b"", b"\xff\xfe", b"[" * 500, b'{"version":"x"}', b"null", b"{}")
+        topic = self._random.choice(("keyed.servers", "keyed.op", "keyed.other"))
+        self._store.put(topic, "garbage", self._random.choice(garbage))
+
+    def _revoke_key(self):
+        """Add a key in one version and take it away in the next."""
+        key = f"key-{self._version}"
+        self._configure([key])
+        self._version += 1
+        self._configure([])
+        self._revoked[key] = now_ms()
+
+    def _configure(self, keys):
+        self._version += self._random.randint(1, 3)
+        organisation = CONFIGURATION["tenants"][0]
+        changed = {**organisation, "api_keys": [*organisation["api_keys"], *keys]}
+        self._store.put(
+            "keyed.op",
+            "config",
+            {**CONFIGURATION, "version": self._version, "tenants": [changed]},
+        )
+
+    # Callers
+
+    def _submit_jobs(self, number):
+        rng = random.Random(f"{self._seed}/{number}")
+        while not self._stop_submitting.is_set():
+            self._submit(rng)
+            if self._revoked and rng.random() < 0.2:
+                self._try_revoked_key(rng)
+            if self._answers and rng.random() < 0.1:
+                self._cancel(rng)
+            self._stop_submitting.wait(rng.uniform(0.05, 0.5))
+
+    def _submit(self, rng):
+        """Submit a job like a caller with retries; return the last status."""
+        job_id = f"{rng.getrandbits(64):016x}"
+        steps = _random_steps(rng)
+        with self._lock:
+            self._workers.jobs[job_id] = steps
+            codes = self._answers.setdefault(job_id, [])
+        wire_steps = [
+            {name: value for name, value in step.items() if name != "work_ms"}
+            for step in steps
+        ]
+        deadline_s = time.monotonic() + REQUEST_TIME_S
+        status = 0
+        while time.monotonic() < deadline_s:
+            host = rng.choice(self._hosts)
+            body = {"spec": job_id, "steps": wire_steps}
+            status, _ = _call(host, "POST", job_id, body, deadline_s)
+            codes.append(status)
+            if status not in (0, 502, 503, 504):
+                break
+            time.sleep(0.3)
+        return status
+
+    def _cancel(self, rng):
+        with self._lock:
+            accepted = [
+                job_id
+                for job_id, codes in self._answers.items()
+                if 200 in codes and job_id not in self._cancelled
+            ]
+        if not accepted:
+            return
+        job_id = rng.choice(accepted)
+        self._cancelled.add(job_id)
+        deadline_s = time.monotonic() + REQUEST_TIME_S
+        status, _ = _call(rng.choice(self._hosts), "DELETE", job_id, None, deadline_s)
+        if status == 200:
+            self._workers.cancelled_ms[job_id] = now_ms()
+
+    def _try_revoked_key(self, rng):
+        """A key that was withdrawn long ago must not work at any host."""
+        key, revoked_ms = rng.choice(sorted(self._revoked.items()))
+        host = rng.choice(self._hosts)
+        if now_ms() - revoked_ms < 3 * CONFIG_MS or not self._is_calm(host):
+            return
+        deadline_s = time.monotonic() + 1
+        status, _ = _call(host, "GET", f"{0:016x}", None, deadline_s, key)
+        if status not in (0, 401, 503) and self._is_calm(host):
+            self._broken.append(f"KEY: {host.name} answers {status} to a revoked key")
+
+    def _is_calm(self, host):
+        """Return whether no fault is in progress that may delay a configuration."""
+        return not self._restorations and not self._store.down
+
+    # The end
+
+    def _check_end(self):
+        deadline_s = time.monotonic() + SETTLE_TIMEOUT_S
+        for host in self._hosts:
+            if host.process.poll() is not None:
+                host.start()
+        open_jobs = {job_id for job_id, codes in self._answers.items() if 200 in codes}
+        rng = random.Random(f"{self._seed}/end")
+        while open_jobs and time.monotonic() < deadline_s:
+            for job_id in sorted(open_jobs):
+                if self._has_ended(rng.choice(self._hosts), job_id, deadline_s):
+                    open_jobs.discard(job_id)
+            time.sleep(0.2)
+        for job_id in sorted(open_jobs):
+            self._broken.append(f"LOST: accepted job {job_id} hasn't ended")
+        for job_id, codes in self._answers.items():
+            if codes and all(code in NOT_ACCEPTED for code in codes):
+                if job_id in self._workers.started_jobs:
+                    self._broken.append(f"REFUSED: {job_id} ran, answers {codes}")
+            if codes and codes[-1] in NOT_ACCEPTED and 504 in codes:
+                if job_id in self._workers.started_jobs and 200 not in codes:
+                    self._note_late_refusal(job_id, codes)
+
+    def _note_late_refusal(self, job_id, codes):
+        """A host that didn't give the unknown answer can't know of it; count only."""
+        name = "jobs that ran after an unknown answer, then a refusal"
+        self._faults[name] = self._faults.get(name, 0) + 1
+
+    def _has_ended(self, host, job_id, deadline_s):
+        status, body = _call(
+            host, "GET", job_id, None, min(deadline_s, time.monotonic() + 1)
+        )
+        if status != 200:
+            return False
+        state = body.get("state")
+        if state == "completed":
+            self._check_completed(job_id)
+        elif state == "cancelled" and job_id not in self._cancelled:
+            self._broken.append(f"MIXED: {job_id} is cancelled, nobody asked for it")
+        elif state == "failed":
+            self._broken.append(f"LOST: {job_id} is shown as failed; no task failed")
+        return state in ("completed", "cancelled", "failed")
+
+    def _check_completed(self, job_id):
+        self._completed.add(job_id)
+        for number, step in enumerate(self._workers.jobs[job_id]):
+            names = {f"{job_id}.0.{number}.{i}" for i in range(step["count"])}
+            ended = names & self._workers.ended_done
+            if ended != names and not (step.get("gang") and ended):
+                self._broken.append(f"MIXED: {job_id} completed, step {number} isn't")
+
+
+def _random_steps(rng):
+    """Return the steps of a job: one or two, some of them gangs."""
+    steps = []
+    for number in range(rng.choice((1, 1, 2))):
+        gang = rng.random() < 0.4
+        step = {
+            "count": rng.randint(1, 4),
+            "cpu": 1_000,
+            "mem_mb": 100,
+            "gpu": rng.choice((1, 1, 2, 4)),
+            "est_ms": 400,
+            "work_ms": rng.randint(200, 1_500),
+        }
+        if gang:
+            step["gang"] = True
+        if number:
+            step["depends_on"] = [number - 1]
+        steps.append(step)
+    return steps
+
+
+def _call(host, method, job_id, body, deadline_s, key="k1"):
+    """Send a request; return (status, body), with status 0 without an answer."""
+    left_s = deadline_s - time.monotonic()
+    if left_s <= 0:
+        return 0, None
+    try:
+        response = urllib3.request(
+            method,
+            f"http://{host.front}/plans/{job_id}",
+            body=None if body is None else json.dumps(body),
+            headers={
+                "Host": "n.example",
+                "Authorization": f"Token {key}",
+                "X-Knapweedshed-Deadline-Ms": str(int(left_s * 1_000)),
+            },
+            timeout=left_s,
+            retries=False,
+        )
+        return response.status, json.loads(response.data or b"null")
+    except (urllib3.exceptions.HTTPError, ValueError):
+        return 0, None
+
+
+def _resume(process):
+    if process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+
+
+def run_seed(seed, duration_s, keep_logs=""):
+    """Run the soak for one seed; return a `SoakReport`.
+
+    The processes' logs are kept in the folder `keep_logs` if a promise was broken.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        report = Soak(seed, folder).run(duration_s)
+        if report.broken and keep_logs:
+            shutil.copytree(folder, os.path.join(keep_logs, f"seed-{seed}"))
+    return report
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -5,7 +5,7 @@
 import unittest
 
 from knapweedshed.clock import create_clock
-from knapweedshed.links.http_client import Response
+from knapweedshed.links.http_messages import Response
 from knapweedshed.links.http_server import HttpRequest
 from knapweedshed.models.calls import CallKind, WorkReply
 from knapweedshed.models.dispatch_actions import (
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -15,6 +15,7 @@
 from knapweedshed.clock import create_clock
 from knapweedshed.filters.admission import MAX_BODY_BYTES
 from knapweedshed.links.entry_client import EntryClient, JobSubmission
+from knapweedshed.programs.daemon import parse_flags
 from knapweedshed.results import ResultCode
 from knapweedshed.settings import COMMON_SETTINGS, SettingsError, load_settings
 from knapweedshed.status import ExitStatus
@@ -57,8 +58,32 @@
         self.assertIn("--data-centre is missing", errors)
 
     def test_flag_overrides_the_environment(self):
-        settings = load_settings(COMMON_SETTINGS, {**VALID_FLAGS, "drain_ms": 5})
+        environment = {
+            "KNAPWEEDSHED_DRAIN_MS": "9",
+            "KNAPWEEDSHED_STATSD": "127.0.0.1:1",
+        }
+        flags = {**VALID_FLAGS, "drain_ms": 5}
+        settings = load_settings(COMMON_SETTINGS, flags, environment)
         self.assertEqual(settings.drain_ms, 5)
+        self.assertEqual(settings.statsd, "127.0.0.1:1")
+
+
+class FlagTests(unittest.TestCase):
+    """Flags of the daemons, as operators write them."""
+
+    def _parse(self, *arguments):
+        return parse_flags("daemon", COMMON_SETTINGS, arguments)
+
+    def test_flag_takes_its_value_with_a_space_or_an_equals_sign(self):
+        expected = {"drain_ms": "5", "log_level": "debug"}
+        self.assertEqual(self._parse("--drain-ms", "5", "--log-level=debug"), expected)
+
+    def test_name_may_be_written_with_underscores(self):
+        self.assertEqual(self._parse("--drain_ms=5"), {"drain_ms": "5"})
+
+    def test_unknown_and_abbreviated_flags_are_reported_by_name(self):
+        flags = self._parse("--colour=red", "--drain=5")
+        self.assertEqual(set(flags), {"colour", "drain"})
 
 
 class ProgramTests(unittest.TestCase):
