--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -16,7 +16,7 @@
 
 
 def soak(seeds=10, first=1, jobs=2, faults_s=FAULTS_S, keep_logs=".run/soak"):
-    """Play `seeds` seeds from `first` on, `jobs` at a time, with `faults_s` s of faults.
+    """Play `seeds` seeds from `first` on, `jobs` at a time, `faults_s` seconds each.
 
     The logs of seeds that broke a promise are kept in the folder `keep_logs`.
     """
--- a/tests/test_stale_decisions.py
+++ b/tests/test_stale_decisions.py
@@ -1,7 +1,7 @@
 """An acting host that was paused or cut off must not act on what it knew before.
 
-Guards against a host that wakes up, or reaches the log again, and starts work on workers
-that have announced meanwhile that they leave (soak, seed 7: 4.8 s into a drain).
+Guards against a host that wakes up, or reaches the log again, and starts work on
+workers that have announced meanwhile that they leave. Soak, seed 7: 4.8 s into a drain.
 """
 
 import unittest
