Stop on a signal that another thread receives; acknowledge nothing to a worker that may be new

After a pause the kernel may deliver the signal to any thread; the main thread, which alone runs handlers, slept in a lock and wasn't woken. A test delivers SIGTERM and SIGUSR1 to another thread; it hangs on the code before.

Change: after a hold without an answer nothing is acknowledged until the worker has said which incarnation it is. In the soak the hold outlived the restart, which a crash doesn't allow; the harness ends such holds now. With the platform a hold on a fresh connection could do the same.

Ruled out for cause 1: the log thread and close(); the process never printed "stopping".

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -345,11 +345,13 @@
         The lease end is in milliseconds; the worker's ends have consecutive numbers.
 
         After a hold without an answer the lease is not renewed until the next answer.
-        Otherwise the lease of a worker that is gone would never expire.
+        Otherwise the lease of a worker that is gone would never expire. No ends are
+        acknowledged either: the worker may have restarted, and its ends have the
+        numbers of earlier ones.
         """
         worker = self._workers[worker_id]
         if not answered:
-            return 0, worker.last_acknowledgeable_end
+            return 0, 0
         lease_end_clock_ms = worker.extend_lease(now_ms, self._limits.lease_ms)
         return lease_end_clock_ms, worker.last_acknowledgeable_end
 
--- a/knapweedshed/programs/daemon.py
+++ b/knapweedshed/programs/daemon.py
@@ -2,9 +2,9 @@
 
 import argparse
 import os
+import select
 import signal
 import sys
-import threading
 from abc import ABC, abstractmethod
 
 from knapweedshed import __version__
@@ -16,6 +16,8 @@
 from knapweedshed.settings import SettingsError, describe_settings, load_settings
 from knapweedshed.status import ExitStatus
 
+MAX_WAKE_BYTES = 4_096
+
 
 class Daemon(ABC):
     """The actors of one process, from start to graceful stop."""
@@ -119,41 +121,44 @@
     """Records the requests that signals make.
 
     Installed before the daemon is built, so that an early SIGTERM is a graceful stop.
+    The kernel may deliver a signal to any thread, above all after a pause of the
+    process, and only the main thread runs handlers: it waits on a pipe, which every
+    signal writes to.
     """
 
     def __init__(self):
-        self._stop_requested = threading.Event()
-        self._signal_received = threading.Event()
-        self._dump_requested = threading.Event()
+        self._stop_requested = False
+        self._dump_requested = False
+        self._reader, self._writer = os.pipe()
 
     @property
     def stopping(self):
         """Whether a stop was requested."""
-        return self._stop_requested.is_set()
+        return self._stop_requested
 
     def start(self):
         """Install the signal handlers."""
+        for descriptor in (self._reader, self._writer):
+            os.set_blocking(descriptor, False)
+        signal.set_wakeup_fd(self._writer, warn_on_full_buffer=False)
         signal.signal(signal.SIGTERM, self._handle_stop)
         signal.signal(signal.SIGINT, self._handle_stop)
         signal.signal(signal.SIGUSR1, self._handle_dump_request)
 
     def wait_for_signal(self):
         """Wait for a signal; return whether it requested a state dump."""
-        self._signal_received.wait()
-        self._signal_received.clear()
-        dump_requested = self._dump_requested.is_set()
-        self._dump_requested.clear()
+        select.select([self._reader], [], [])
+        os.read(self._reader, MAX_WAKE_BYTES)
+        dump_requested, self._dump_requested = self._dump_requested, False
         return dump_requested
 
     def _handle_stop(self, signum, frame):
-        if self._stop_requested.is_set():
+        if self._stop_requested:
             os._exit(ExitStatus.INTERRUPTED)
-        self._stop_requested.set()
-        self._signal_received.set()
+        self._stop_requested = True
 
     def _handle_dump_request(self, signum, frame):
-        self._dump_requested.set()
-        self._signal_received.set()
+        self._dump_requested = True
 
 
 def _help_text(program, description, specification):
--- a/tests/soak_workers.py
+++ b/tests/soak_workers.py
@@ -136,12 +136,15 @@
         }[call.path]
         wait_until_ms = now_ms() + body.get("wait_ms", 0)
         with self._lock:
+            incarnation = worker.incarnation
             status, answer = self._check_fence(worker, body) or handle(worker, body)
         while call.path == "/v1/hold" and status == 200 and not answer["ended"]:
             if now_ms() >= wait_until_ms:
                 break
             time.sleep(STEP_PERIOD_S)
             with self._lock:
+                if worker.incarnation != incarnation:
+                    return json_response(503, {})
                 status, answer = self._hold(worker, body)
         answer |= {"clock_ms": now_ms(), "born": worker.incarnation}
         return json_response(status, answer)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -135,6 +135,60 @@
 """
 
 
+# The kernel may deliver a signal to any thread; here to one beside the main thread.
+SIGNALLED_THREAD_SOURCE = """
+import logging, signal, sys, threading, time
+from knapweedshed.programs.daemon import Daemon, run_daemon
+
+class Signalled(Daemon):
+    def start(self):
+        threading.Thread(target=self._signal_itself).start()
+
+    def _signal_itself(self):
+        time.sleep(0.5)
+        signal.pthread_kill(threading.get_ident(), signal.{name})
+        time.sleep(30)
+
+    def close(self):
+        print("closed", flush=True)
+        __import__("os")._exit(0)
+
+    def dump(self):
+        return "the state dump"
+
+def create(program, settings):
+    return Signalled(), logging.getLogger()
+
+sys.exit(run_daemon("signalled", "signals itself", (), create, []))
+"""
+
+
+class SignalledThreadTests(unittest.TestCase):
+    """Signals that reach a daemon in another thread, as after a pause of the process.
+
+    The soak found hosts that a SIGTERM after a SIGCONT didn't stop.
+    """
+
+    def _start(self, name):
+        source = SIGNALLED_THREAD_SOURCE.format(name=name)
+        process = subprocess.Popen(
+            [sys.executable, "-c", source], stdout=subprocess.PIPE, text=True
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.addCleanup(process.stdout.close)
+        return process
+
+    def test_sigterm_stops_the_daemon(self):
+        process = self._start("SIGTERM")
+        self.assertEqual(process.wait(timeout=20), ExitStatus.SUCCESS)
+        self.assertIn("closed", process.stdout.read())
+
+    def test_sigusr1_writes_the_state_dump(self):
+        process = self._start("SIGUSR1")
+        self.assertIn("the state dump", process.stdout.readline())
+
+
 class EarlySignalTests(unittest.TestCase):
     """SIGTERM while a daemon is still starting."""
 
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -69,6 +69,17 @@
         self.assertEqual([order.run for order in self.harness.started], [1, 2])
         self.assertEqual(self.harness.stopped, [])
 
+    def test_worker_without_an_answer_may_have_restarted_so_no_end_is_acknowledged(
+        self,
+    ):
+        self.harness.end(self.worker_id, self.harness.started[0].task, "done")
+        self.harness.now_ms += 10
+        self.harness.hold_all()
+        dispatcher, now_ms = self.harness.dispatcher, self.harness.now_ms
+        self.assertEqual(dispatcher.hold_parameters(self.worker_id, now_ms)[1], 1)
+        unanswered = dispatcher.hold_parameters(self.worker_id, now_ms, answered=False)
+        self.assertEqual(unanswered, (0, 0))
+
     def test_draining_worker_stays_draining_for_its_incarnation(self):
         harness = DispatchHarness(entries=[make_entry(0, draining=True)])
         harness.start_term()
