--- a/knapweedshed/filters/work_calls.py
+++ b/knapweedshed/filters/work_calls.py
@@ -1,5 +1,6 @@
 """The filters of calls for multi-step jobs."""
 
+from knapweedshed.decisions.job_limits import find_fault
 from knapweedshed.filters.base import Filter
 from knapweedshed.models.calls import CallKind, WorkReply
 from knapweedshed.results import Result, ResultCode
@@ -79,6 +80,9 @@
             return refused_reply(ResultCode.BODY_TOO_LARGE, "the body is too large")
         if request.draft is None:
             return refused_reply(ResultCode.BAD_REQUEST, request.body_error)
+        fault = find_fault(request.draft)
+        if fault:
+            return refused_reply(ResultCode.BAD_REQUEST, fault)
         return request
 
 
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -80,7 +80,8 @@
 
 
 def _parse_time_left_ms(value):
-    return int(value) if value.isdigit() and len(value) < 10 else DEFAULT_TIME_LEFT_MS
+    is_number = value.isascii() and value.isdigit() and len(value) < 10
+    return int(value) if is_number else DEFAULT_TIME_LEFT_MS
 
 
 def _decode_draft(body):
@@ -102,11 +103,7 @@
         )
     except DECODE_ERRORS as error:
         return None, f"not a job: {error!r}"[:300]
-    return (
-        (draft, "")
-        if _are_valid_steps(steps)
-        else (None, "steps must follow earlier ones")
-    )
+    return draft, ""
 
 
 def _decode_step(fields):
@@ -124,11 +121,3 @@
         copies=bool(fields.get("speculative", False)),
         lasting=bool(fields.get("long_running", False)),
     )
-
-
-def _are_valid_steps(steps):
-    """Return whether no step is empty and all dependencies are on earlier steps."""
-    return bool(steps) and all(
-        step.count > 0 and all(0 <= dependency < number for dependency in step.after)
-        for number, step in enumerate(steps)
-    )
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -5,6 +5,7 @@
 import unittest
 
 from knapweedshed.clock import create_clock
+from knapweedshed.filters.work_calls import JobValidationFilter
 from knapweedshed.links.http_messages import Response
 from knapweedshed.links.http_server import HttpRequest
 from knapweedshed.models.calls import CallKind, WorkReply
@@ -17,6 +18,7 @@
     StopRun,
 )
 from knapweedshed.models.outcomes import LogRecord, NoAnswer, Refused
+from knapweedshed.models.service_configuration import ServiceConfiguration
 from knapweedshed.models.work import Resources, Task, WorkState
 from knapweedshed.platform.callers import JsonCallerCodec
 from knapweedshed.platform.feeds import StoreConfigurationFeed, StoreWorkerFeed
@@ -229,7 +231,7 @@
         self.assertTrue(call.draft.steps[0].gang)
         self.assertEqual(call.draft.steps[0].most_per_worker, 2)
 
-    def test_malformed_bodies_have_an_error_and_no_draft(self):
+    def test_malformed_bodies_are_rejected_with_a_reason(self):
         forward_dependency = {"count": 1, "depends_on": [0]}
         for body in (
             b"",
@@ -242,9 +244,10 @@
             {"spec": "s", "steps": [{"count": 1, "cpu": -5}]},
             {"spec": "s" * 4_001, "steps": [{"count": 1}]},
         ):
-            call = self._decode(body)
-            self.assertIsNone(call.draft, body)
-            self.assertTrue(call.body_error)
+            call = self._decode(body)._replace(job_id="a" * 16)
+            reply = JobValidationFilter(ServiceConfiguration).enter(call)
+            self.assertEqual(reply.result.code, ResultCode.BAD_REQUEST, body)
+            self.assertTrue(reply.result.reason)
 
     def test_replies_have_the_status_and_headers_of_the_interface(self):
         codec = JsonCallerCodec()
