Wait for an append that starts just before the deadline; hear the acting host again first

After each outage of the store some host claimed the role from a live one, because its silence was counted over the time in which the host itself read nothing.

Ruled out: lack of room (half of the first starts within 49 ms), reclaim (two of eight late ones).

Change: margin of 100 ms and at least 150 ms for an append; a joined append takes the later deadline; after a gap in its own reads a host gives the acting one 1 s. Three tests, which fail before. One older test of the leader timeout reads the log once more, since its gap counts as an outage now.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -43,7 +43,9 @@
 
 # 500 ms less than the time for which an accepted job may stay invisible to callers.
 LOG_FRESHNESS_MS = 2_500
-ANSWER_MARGIN_MS = 400
+ANSWER_MARGIN_MS = 100  # a tick, and the way back to the caller
+# An append that starts shortly before the caller's deadline is waited for this long.
+MIN_APPEND_WAIT_MS = 150
 LOG_READ_TIMEOUT_MS = 150  # a read takes a few ms; slower ones aren't waited for
 
 
@@ -245,10 +247,7 @@
             return
         record_id = self._submit_record_ids.get(call.job_id)
         if record_id is not None:
-            pending = self._pending_appends[record_id]
-            self._pending_appends[record_id] = pending._replace(
-                call_ids=(*pending.call_ids, call.call_id)
-            )
+            self._join_append(record_id, call)
             return
         if self._is_log_silent():
             self._send_answer(call, self._not_appended_reply(call.job_id))
@@ -306,13 +305,27 @@
         maybe_written = self._unknown_outcomes.holds(
             call.job_id, self._context.clock.now_ms()
         )
-        state = AppendState(call.deadline_ms - ANSWER_MARGIN_MS, maybe_written)
+        state = AppendState(self._append_deadline_ms(call), maybe_written)
         self._pending_appends[record_id] = PendingAppend(
             append_request, call.job_id, state, (call.call_id,)
         )
         self._send_append(append_request)
         return record_id
 
+    def _join_append(self, record_id, call):
+        """Let a call wait for the append of an earlier call for the same job."""
+        pending = self._pending_appends[record_id]
+        deadline_ms = max(pending.state.deadline_ms, self._append_deadline_ms(call))
+        self._pending_appends[record_id] = pending._replace(
+            call_ids=(*pending.call_ids, call.call_id),
+            state=pending.state._replace(deadline_ms=deadline_ms),
+        )
+
+    def _append_deadline_ms(self, call):
+        """Return when a call must be answered, whether or not its append is."""
+        now_ms = self._context.clock.now_ms()
+        return max(call.deadline_ms - ANSWER_MARGIN_MS, now_ms + MIN_APPEND_WAIT_MS)
+
     def _send_append(self, append_request):
         now_ms = self._context.clock.now_ms()
         self._log_reachability.note_append_sent(append_request.record_id, now_ms)
--- a/knapweedshed/decisions/leadership.py
+++ b/knapweedshed/decisions/leadership.py
@@ -13,6 +13,9 @@
 WEAK_HOST_DELAY_MS = 600  # above the jitter: the weakest host claims after all others
 SUFFICIENT_CORES_COUNT = 1.0  # acting for 176 workers under light load takes 0.36 cores
 CLAIM_RETRY_MS = 1_500  # a claim that is not read back by then is repeated
+# After an outage of the log the acting host is given this time to be heard again: its
+# last append may only now have timed out.
+RETURN_GRACE_MS = 1_000
 MAX_ACTING_WITHOUT_LOG_MS = 10_000  # since the last read; outlasts the log's outages
 
 
@@ -55,7 +58,14 @@
         self._fenced_epoch = 0
 
     def note_log_read(self, now_ms, caught_up):
-        """Note a successful read; the leader timeout starts once caught up."""
+        """Note a successful read; the leader timeout starts once caught up.
+
+        A leader that was not heard while this host could not read is not silent yet.
+        """
+        if now_ms - self._log_read_ms > LEADER_TIMEOUT_MS:
+            self._leader_heard_ms = max(
+                self._leader_heard_ms, now_ms - LEADER_TIMEOUT_MS + RETURN_GRACE_MS
+            )
         self._log_read_ms = now_ms
         if caught_up and not self._caught_up:
             self._caught_up = True
--- a/knapweedshed/links/work_front.py
+++ b/knapweedshed/links/work_front.py
@@ -14,7 +14,8 @@
 METRICS_THREADS = 1
 METRICS_PATH = "/metrics"
 READINESS_TIMEOUT_MS = 500
-REPLY_MARGIN_MS = 300  # for a reply to reach its caller before the deadline
+REPLY_MARGIN_MS = 30  # for a reply to reach its caller before the deadline
+MIN_REPLY_WAIT_MS = 200  # longer than the append of a call that comes late
 
 
 class MetricsServer:
@@ -82,7 +83,7 @@
         time_left_ms = work_call.deadline_ms - now_ms - REPLY_MARGIN_MS
         try:
             work_reply = reply.get(
-                timeout=max(time_left_ms, REPLY_MARGIN_MS) / MS_PER_SECOND
+                timeout=max(time_left_ms, MIN_REPLY_WAIT_MS) / MS_PER_SECOND
             )
         except pykka.Timeout:
             reason = "no answer in the caller's time; ask again with the same id"
--- a/tests/test_log_reachability.py
+++ b/tests/test_log_reachability.py
@@ -10,7 +10,7 @@
 from knapweedshed.clock import ManualClock
 from knapweedshed.codecs.catalogue import register_all
 from knapweedshed.context import create_test_context
-from knapweedshed.controllers.jobs import JobsController
+from knapweedshed.controllers.jobs import MIN_APPEND_WAIT_MS, JobsController
 from knapweedshed.controllers.messages import (
     AppendDone,
     AppendFailed,
@@ -168,6 +168,27 @@
         self.assertEqual(self._last_result(), ResultCode.OUTCOME_UNKNOWN)
         self.assertGreater(self.calls.messages[-1].reply.retry_after_ms, 0)
 
+    def test_append_that_starts_just_before_the_deadline_is_waited_for(self):
+        self._submit(time_left_ms=60)
+        self.clock.advance(MIN_APPEND_WAIT_MS - 1)
+        self.jobs.receive(Tick())
+        self.assertEqual(self.calls.messages, [])
+        append = self.appender.messages[-1]
+        self.jobs.receive(AppendDone(append.record_id, 0))
+        self.assertEqual(self._last_result(), ResultCode.OK)
+
+    def test_later_call_for_the_job_is_not_answered_at_the_first_ones_deadline(self):
+        self._submit(time_left_ms=500)
+        self.clock.advance(300)
+        self._submit(time_left_ms=2_000)
+        self.clock.advance(400)
+        self.jobs.receive(Tick())
+        self.assertEqual(self.calls.messages, [])
+        append = self.appender.messages[-1]
+        self.jobs.receive(AppendDone(append.record_id, 0))
+        self.assertEqual(len(self.calls.messages), 2)
+        self.assertEqual(self._last_result(), ResultCode.OK)
+
     def test_submission_behind_a_silent_append_is_rejected_without_an_append(self):
         self._submit()
         self.clock.advance(MIN_SILENCE_MS + 1)
--- a/tests/test_work_roles.py
+++ b/tests/test_work_roles.py
@@ -14,6 +14,7 @@
     CLAIM_RETRY_MS,
     LEADER_TIMEOUT_MS,
     MAX_ACTING_WITHOUT_LOG_MS,
+    RETURN_GRACE_MS,
     LeaderElection,
     LeadershipState,
     claim_delay_ms,
@@ -90,6 +91,7 @@
     def test_leader_timeout_starts_at_the_last_record_read(self):
         election, ledger = self._make_election()
         election.note_leader_heard(2_000)
+        election.note_log_read(2_500, True)
         election.note_log_read(3_500, True)
         self.assertFalse(election.take_claim(ledger, 3_500))
         election.note_log_read(2_000 + LEADER_TIMEOUT_MS + CLAIM_JITTER_MS, True)
@@ -97,6 +99,18 @@
         self.assertTrue(election.take_claim(ledger, now_ms))
         self.assertFalse(election.take_claim(ledger, now_ms + 1))
 
+    def test_acting_host_is_heard_again_before_a_claim_after_an_outage(self):
+        election, ledger = self._make_election()
+        election.note_leader_heard(1_000)
+        election.note_log_read(9_000, True)
+        self.assertFalse(election.take_claim(ledger, 9_000))
+        now_ms = 9_000 + RETURN_GRACE_MS - 1
+        election.note_log_read(now_ms, True)
+        self.assertFalse(election.take_claim(ledger, now_ms))
+        now_ms = 9_000 + RETURN_GRACE_MS + CLAIM_JITTER_MS
+        election.note_log_read(now_ms, True)
+        self.assertTrue(election.take_claim(ledger, now_ms))
+
     def test_an_earlier_incarnation_of_this_host_is_not_waited_for(self):
         election, ledger = self._make_election(acting="a/1")
         self.assertTrue(election.take_claim(ledger, 1_000 + CLAIM_JITTER_MS))
