Let a page of the log take longer than its timeout

After the loss of power at the end all hosts read the log from its beginning at once; the connection that replaced urllib3 gave a response 800 ms in all, where urllib3 gives them to each piece, so every host began the first page again for ever (`log unreachable`: timed out, at 18 of 18 hosts).

Ruled out: the change of the leader's timeout and of readiness (nobody gets as far).

Change: the timeout holds for the time in which nothing arrives; an exchange has 30 s in all. Tests with a page in pieces fail before.

--- a/knapweedshed/links/blocking_connection.py
+++ b/knapweedshed/links/blocking_connection.py
@@ -18,6 +18,8 @@
 from knapweedshed.models.outcomes import NoAnswer, NotSent
 
 RECEIVE_BUFFER_BYTES = 65_536
+# A page of the log takes some seconds where many hosts start on slow links.
+MAX_EXCHANGE_MS = 30_000
 
 
 class BlockingConnection:
@@ -46,7 +48,8 @@
     def request(self, method, path, body, query, timeout_ms):
         """Return a `Response` of any status, `NotSent` or `NoAnswer`.
 
-        The whole response must arrive within `timeout_ms`.
+        The peer may be silent for `timeout_ms` before and within its response, and a
+        whole exchange may take `MAX_EXCHANGE_MS`.
         """
         now_ms = self._clock.now_ms()
         if now_ms - self._last_used_ms > MAX_IDLE_MS:
@@ -60,7 +63,7 @@
         except OSError as error:
             return NotSent(f"connection failed: {error}"[:200])
         try:
-            response = self._exchange(data, self._clock.now_ms() + timeout_ms)
+            response = self._exchange(data, timeout_ms)
         except (OSError, HttpParseError) as error:
             self.close()
             return NoAnswer(f"{type(error).__name__}: {error}"[:200])
@@ -74,23 +77,16 @@
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._parser = ResponseParser()
 
-    def _exchange(self, data, deadline_ms):
+    def _exchange(self, data, timeout_ms):
         """Send a request and return its `Response`; raises OSError, HttpParseError."""
-        self._limit_wait(deadline_ms)
+        started_ms = self._clock.now_ms()
+        self._socket.settimeout(timeout_ms / MS_PER_SECOND)
         self._socket.sendall(data)
-        while True:
-            self._limit_wait(deadline_ms)
+        while self._clock.now_ms() - started_ms < MAX_EXCHANGE_MS:
             received = self._socket.recv(RECEIVE_BUFFER_BYTES)
             if not received:
                 raise ConnectionError("the peer closed the connection")
             response = self._parser.feed(received)
             if response is not None:
                 return response
-
-    def _limit_wait(self, deadline_ms):
-        """Let the next call on the socket wait until `deadline_ms` at the most.
-
-        After a pause of the process an answer that has arrived is still read.
-        """
-        left_ms = max(1, deadline_ms - self._clock.now_ms())
-        self._socket.settimeout(left_ms / MS_PER_SECOND)
+        raise TimeoutError("the response takes too long")
--- a/tests/test_store_connection.py
+++ b/tests/test_store_connection.py
@@ -1,5 +1,7 @@
 """The connection to the platform's store: silent, closed, broken and slow peers."""
 
+import socket
+import threading
 import time
 import unittest
 
@@ -82,6 +84,49 @@
         self.assertEqual(server.connection_count, 2)
 
 
+class SlowPageTest(unittest.TestCase):
+    """A page that arrives in pieces, as on a slow link that many hosts share.
+
+    Guards against hosts that start together after a loss of power: each read of the
+    log's first page was given up before its end, and begun again, for ever.
+    """
+
+    def _serve(self, pieces, pause_s):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def answer():
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                for piece in pieces:
+                    time.sleep(pause_s)
+                    connection.sendall(piece)
+
+        threading.Thread(target=answer, daemon=True).start()
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        connection = BlockingConnection(create_clock(), address, 400)
+        self.addCleanup(connection.close)
+        return connection
+
+    def test_page_that_takes_longer_than_the_timeout_is_read(self):
+        body = b"x" * 50_000
+        data = response(body)
+        pieces = [data[at : at + 10_000] for at in range(0, len(data), 10_000)]
+        connection = self._serve(pieces, pause_s=TIMEOUT_MS / 2_000)
+        result = connection.request("GET", "/x", b"", None, TIMEOUT_MS)
+        self.assertEqual(result, Response(200, {"content-length": "50000"}, body))
+
+    def test_page_that_stops_is_no_answer(self):
+        data = response(b"x" * 50_000)
+        connection = self._serve([data[:10_000], data[10_000:]], pause_s=1.5)
+        result = connection.request("GET", "/x", b"", None, 2_000)
+        self.assertEqual(result.status, 200)
+        connection = self._serve([data[:10_000], data[10_000:]], pause_s=1.5)
+        result = connection.request("GET", "/x", b"", None, TIMEOUT_MS)
+        self.assertIsInstance(result, NoAnswer)
+
+
 class ResponseParserTest(unittest.TestCase):
     """Responses in pieces, and ones that are too large."""
 
