After a pause of the host, hear the workers before anything is given up

The acting host was paused for 8 s. Its first tick after that found all leases lapsed and started their work again; the next message that it read was a worker's answer that the work was done.

Ruled out: the workers' leases (they had lapsed only after the work was done); two acting hosts (one epoch throughout).

Change: after a gap between ticks of over 1 s no lease expires and no order is given up for 1.5 s; a launch is not started if an end of its unit is recorded or listed by then; a later run of a unit that turns out to be done is stopped.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -10,6 +10,7 @@
     HANG_QUARANTINE_MS,
     find_hanging_workers,
 )
+from knapweedshed.decisions.pauses import PauseDetector
 from knapweedshed.decisions.planning_units import UnitPlanner, UnitPlanningInput
 from knapweedshed.decisions.preemption_claims import PreemptionClaims
 from knapweedshed.decisions.silence import SilenceObserver
@@ -52,6 +53,9 @@
 # list is read each 300 ms, by a slow store in 550 ms.
 MAX_LIST_AGE_MS = 1_200
 MAX_LAUNCH_AGE_MS = 1_200  # a launch that is read back later is not started
+MAX_TICK_GAP_MS = 1_000  # ticks come each 200 ms; a longer gap is a pause of this host
+# After a pause answers may wait that arrived meanwhile: time alone proves nothing yet.
+PAUSE_GRACE_MS = 1_500
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
 NOT_STARTED_REASONS = (
     REASON_STALE_RUN,
@@ -76,6 +80,8 @@
         self._unit_runs = adopt_launches(ledger, self._workers, limits, now_ms)
         self._unrecorded_ends = UnrecordedEnds()
         self._silence_observer = SilenceObserver()
+        self._pause_detector = PauseDetector(MAX_TICK_GAP_MS)
+        self._nothing_expires_until_ms = now_ms
         self._configuration = None
         self._workers_listed_ms = None
         self._speeds = WorkerSpeeds(
@@ -150,6 +156,7 @@
         orders = []
         self._speed_observer.observe_worker(worker, removed_runs, now_ms)
         self._handle_ends(worker, ends, now_ms)
+        orders.extend(self._stop_repeated_runs(ends, now_ms))
         orders.extend(self._handle_removed_runs(worker, removed_runs, now_ms))
         for listed in unassigned:
             orders.append(self._stop_unassigned_run(worker, listed, now_ms))
@@ -243,7 +250,7 @@
                 assigned_runs[task, unit_run.run] = assigned_runs[
                     task, unit_run.run
                 ]._replace(ordered_ms=now_ms)
-            if unit_run.ending or is_late:
+            if unit_run.ending or is_late or self._has_ended(launched.unit):
                 self._discard_unit_run(launched.unit)
             else:
                 orders.extend(self._start_orders(unit_run, now_ms))
@@ -267,13 +274,22 @@
             self._speeds_updated_ms = now_ms
             self._speeds.recompute(now_ms)
             actions.extend(self._quarantine_hanging_workers(now_ms))
+        if self._pause_detector.detect_pause(now_ms):
+            self._nothing_expires_until_ms = now_ms + PAUSE_GRACE_MS
+        if now_ms >= self._nothing_expires_until_ms:
+            actions.extend(self._expire_leases_and_orders(now_ms))
+        actions.extend(self._unrecorded_ends.take_overdue(now_ms))
+        return actions
+
+    def _expire_leases_and_orders(self, now_ms):
+        """Give up runs whose lease has lapsed and orders without an answer."""
+        actions = []
         for worker in list(self._workers.values()):
             actions.extend(
                 self._handle_removed_runs(worker, worker.expire_runs(now_ms), now_ms)
             )
             for key, assigned_run in list(worker.assigned_runs.items()):
                 actions.extend(self._retry_order(worker, key, assigned_run, now_ms))
-        actions.extend(self._unrecorded_ends.take_overdue(now_ms))
         return actions
 
     def take_speed_report(self, now_ms):
@@ -452,6 +468,27 @@
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
 
+    def _has_ended(self, unit):
+        """Return whether an end of a unit is recorded as done or is being recorded."""
+        progress = self._ledger.jobs[unit.job_id]
+        if unit in progress.done or not progress.active:
+            return True
+        return any(
+            self._unit_of(task) == unit for task in self._unrecorded_ends.tasks()
+        )
+
+    def _stop_repeated_runs(self, ends, now_ms):
+        """Stop later runs of units of which an earlier run turns out to be done."""
+        orders = []
+        for end in ends:
+            if end.kind != EndKind.DONE or not self._ledger.has_task(end.task):
+                continue
+            unit = self._unit_of(end.task)
+            unit_run = self._unit_runs.get(unit)
+            if unit_run is not None and unit_run.run > end.run and not unit_run.ending:
+                orders.extend(self._stop_unit_run(unit, now_ms))
+        return orders
+
     def _avoid_worker(self, task, worker_id, now_ms):
         """Run a unit elsewhere next, so that a faulty worker fails it only once."""
         if self._ledger.has_task(task):
--- a/tests/test_stale_decisions.py
+++ b/tests/test_stale_decisions.py
@@ -6,8 +6,14 @@
 
 import unittest
 
-from knapweedshed.decisions.dispatch import MAX_LAUNCH_AGE_MS, MAX_LIST_AGE_MS
+from knapweedshed.decisions.dispatch import (
+    MAX_LAUNCH_AGE_MS,
+    MAX_LIST_AGE_MS,
+    PAUSE_GRACE_MS,
+)
+from knapweedshed.decisions.tracked_workers import ORDER_IN_FLIGHT
 from knapweedshed.models.dispatch_actions import RecordLaunches
+from knapweedshed.models.work import TaskRun
 from knapweedshed.models.work_records import RunsLaunched
 from tests.dispatch_harness import DispatchHarness, make_entry, make_job
 
@@ -67,5 +73,96 @@
         self.assertEqual([order.run for order in harness.started], [2])
 
 
+class PausedHostTest(unittest.TestCase):
+    """The host was paused for longer than a lease; answers wait in its sockets.
+
+    Soak, seed 38: it took the leases for lapsed and started the work again, though the
+    next answer that it read said that the work was done.
+    """
+
+    def setUp(self):
+        self.harness = DispatchHarness(workers=2)
+        self.harness.start_term()
+        self.harness.accept(make_job())
+        self.harness.hold_all()
+        self.harness.pass_time(200)
+        self.harness.hold_all()
+        self.order = self.harness.started[0]
+
+    def _pause(self, for_ms=8_000):
+        self.harness.now_ms += for_ms
+        self.harness.apply_actions(self.harness.dispatcher.tick(self.harness.now_ms))
+        self.harness.plan()
+
+    def test_work_is_not_started_again_before_the_workers_are_heard(self):
+        self.harness.end(self.order.worker_id, self.order.task, "done")
+        self._pause()
+        self.harness.hold_all()
+        self.assertEqual(len(self.harness.started), 1)
+        self.assertFalse(self.harness.ledger.jobs["a" * 16].active)
+
+    def test_leases_expire_once_workers_stay_silent_after_the_pause(self):
+        self.harness.unreachable.add(self.order.worker_id)
+        self._pause()
+        self.assertEqual(len(self.harness.started), 1)
+        self.harness.pass_time(PAUSE_GRACE_MS)
+        self.harness.hold_all()
+        self.harness.plan()
+        self.assertEqual(len(self.harness.started), 2)
+
+    def test_order_in_flight_is_not_given_up_after_a_pause(self):
+        worker = self.harness.dispatcher.workers[self.order.worker_id]
+        key = (self.order.task, self.order.run)
+        worker.assigned_runs[key] = worker.assigned_runs[key]._replace(
+            order_answered_ms=ORDER_IN_FLIGHT, ordered_ms=self.harness.now_ms
+        )
+        self._pause()
+        self.assertEqual(self.harness.stopped, [])
+
+
+class DoneMeanwhileTest(unittest.TestCase):
+    """A unit turns out to be done after its next run was decided."""
+
+    def setUp(self):
+        self.harness = DispatchHarness(workers=2)
+        self.harness.start_term()
+        self.harness.accept(make_job())
+        self.harness.hold_all()
+        self.harness.now_ms += 10
+        self.harness.hold_all()
+        self.first = self.harness.started[0]
+        worker = self.harness.dispatcher.workers[self.first.worker_id]
+        self.removed = worker.expire_runs(self.harness.now_ms + 60_000)
+        self.harness.dispatcher._handle_removed_runs(
+            worker, self.removed, self.harness.now_ms
+        )
+
+    def test_launch_is_not_started_once_an_end_is_listed(self):
+        harness = self.harness
+        actions = harness.dispatcher.plan(harness.now_ms, harness.now_ms)
+        launches = [a for a in actions if isinstance(a, RecordLaunches)][0].launches
+        harness.end(self.first.worker_id, self.first.task, "done")
+        harness.hold(self.first.worker_id)
+        harness.append_record(RunsLaunched(harness.epoch, launches))
+        harness.apply_actions(
+            harness.dispatcher.confirm_launches(launches, harness.now_ms)
+        )
+        self.assertEqual(len(harness.started), 1)
+
+    def test_run_that_has_started_is_stopped(self):
+        harness = self.harness
+        harness.plan()
+        self.assertEqual(len(harness.started), 2)
+        ended_at = self.first.worker_id
+        harness.running[ended_at][self.first.task] = TaskRun(
+            self.first.task, self.first.run, "", 50
+        )
+        harness.end(ended_at, self.first.task, "done")
+        harness.hold(ended_at)
+        second = harness.started[1]
+        stopped = [(order.worker_id, order.run) for order in harness.stopped]
+        self.assertIn((second.worker_id, second.run), stopped)
+
+
 if __name__ == "__main__":
     unittest.main()
