--- a/tests/test_stale_decisions.py
+++ b/tests/test_stale_decisions.py
@@ -17,6 +17,8 @@
 from knapweedshed.models.work_records import RunsLaunched
 from tests.dispatch_harness import DispatchHarness, make_entry, make_job
 
+LEASE_MS = 6_000  # of the harness
+
 
 class StaleListTest(unittest.TestCase):
     """The list of workers was not read for a while."""
@@ -97,6 +99,9 @@
     def test_work_is_not_started_again_before_the_workers_are_heard(self):
         self.harness.end(self.order.worker_id, self.order.task, "done")
         self._pause()
+        other_worker_id = {"w0": "w1", "w1": "w0"}[self.order.worker_id]
+        self.harness.hold(other_worker_id)
+        self.harness.plan()
         self.harness.hold_all()
         self.assertEqual(len(self.harness.started), 1)
         self.assertFalse(self.harness.ledger.jobs["a" * 16].active)
@@ -116,7 +121,7 @@
         worker.assigned_runs[key] = worker.assigned_runs[key]._replace(
             order_answered_ms=ORDER_IN_FLIGHT, ordered_ms=self.harness.now_ms
         )
-        self._pause()
+        self._pause(LEASE_MS - 2_000)
         self.assertEqual(self.harness.stopped, [])
 
 
