Check a late launch again instead of dropping it

Cause: reading the change as a host of 0.12 core would meet it: a launch that is read back after 1.2 s for want of processor time was dropped each time. Change: it starts if its workers still take work by a list that is new enough; lists may be 1.8 s old.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -51,8 +51,8 @@
 FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
 # Workers that leave must get no new work 2 s after the platform has listed them so. The
 # list is read each 300 ms, by a slow store in 550 ms.
-MAX_LIST_AGE_MS = 1_200
-MAX_LAUNCH_AGE_MS = 1_200  # a launch that is read back later is not started
+MAX_LIST_AGE_MS = 1_800
+MAX_LAUNCH_AGE_MS = 1_200  # a launch that is read back later is checked again
 MAX_TICK_GAP_MS = 1_000  # ticks come each 200 ms; a longer gap is a pause of this host
 # After a pause answers may wait that arrived meanwhile: time alone proves nothing yet.
 PAUSE_GRACE_MS = 1_500
@@ -241,7 +241,7 @@
             unit_run = self._unit_runs.get(launched.unit)
             if unit_run is None or unit_run.run != launched.run or unit_run.launched:
                 continue
-            is_late = now_ms - unit_run.started_ms > MAX_LAUNCH_AGE_MS
+            is_outdated = self._is_outdated(unit_run, now_ms)
             self._unit_runs[launched.unit] = unit_run._replace(
                 launched=True, started_ms=now_ms
             )
@@ -250,7 +250,7 @@
                 assigned_runs[task, unit_run.run] = assigned_runs[
                     task, unit_run.run
                 ]._replace(ordered_ms=now_ms)
-            if unit_run.ending or is_late or self._has_ended(launched.unit):
+            if unit_run.ending or is_outdated or self._has_ended(launched.unit):
                 self._discard_unit_run(launched.unit)
             else:
                 orders.extend(self._start_orders(unit_run, now_ms))
@@ -468,6 +468,14 @@
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
 
+    def _is_outdated(self, unit_run, now_ms):
+        """Return whether a late launch is on workers that may not take it any more."""
+        if now_ms - unit_run.started_ms <= MAX_LAUNCH_AGE_MS:
+            return False
+        workers = [self._workers[name] for name in unit_run.workers_by_task.values()]
+        accepted = all(worker.accepts_work(now_ms) for worker in workers)
+        return not (accepted and self._is_list_recent(now_ms))
+
     def _has_ended(self, unit):
         """Return whether an end of a unit is recorded as done or is being recorded."""
         progress = self._ledger.jobs[unit.job_id]
