Let holds wait longer where there are many workers

Change: above 500 workers a hold waits 2 ms a worker, 2 s at the most; sites of up to 500 workers keep 1 s.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -43,11 +43,7 @@
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_ordering_policy
-from knapweedshed.links.worker_links import (
-    DOUBT_HOLD_WAIT_MS,
-    HOLD_WAIT_MS,
-    WorkerLinks,
-)
+from knapweedshed.links.worker_links import WorkerLinks
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
     ORDER_UNKNOWN,
@@ -395,13 +391,12 @@
         deadline_ms, acknowledged_upto = self._dispatcher.hold_parameters(
             worker_id, now_ms
         )
-        has_doubtful_runs = self._dispatcher.workers[worker_id].has_doubtful_runs
         self._worker_links.hold(
             worker_id,
             self._ledger.epoch,
             deadline_ms,
             acknowledged_upto,
-            DOUBT_HOLD_WAIT_MS if has_doubtful_runs else HOLD_WAIT_MS,
+            self._dispatcher.workers[worker_id].has_doubtful_runs,
         )
 
     def _keep_or_drop_worker(self, worker_id):
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -14,7 +14,7 @@
 
 MIN_CLOCK_RATE_RATIO = 0.98  # the workers' platform lets their clocks run 2% slow
 LEASE_EXPIRY_MARGIN_MS = 150  # one scheduler tick and a late timer at the worker
-MAX_ANSWER_AGE_MS = 2_200  # a hold waits 1 s, its answer may take 1 s, plus a margin
+MAX_ANSWER_AGE_MS = 3_200  # a hold waits 2 s, its answer may take 1 s, plus a margin
 QUARANTINE_INITIAL_MS = 2_000  # doubles with each further failure
 QUARANTINE_MAX_MS = 16_000
 FAILURES_TO_QUARANTINE_COUNT = 2
--- a/knapweedshed/links/worker_links.py
+++ b/knapweedshed/links/worker_links.py
@@ -4,7 +4,10 @@
 from knapweedshed.controllers.work_messages import CloseWorker, HoldRequest, OpenWorker
 from knapweedshed.links.worker_connections import WorkerConnections
 
-HOLD_WAIT_MS = 1_000  # leases last some seconds and must be renewed several times
+MIN_HOLD_WAIT_MS = 1_000  # leases last some seconds and must be renewed several times
+MAX_HOLD_WAIT_MS = 2_000  # the longest that workers allow
+# Holds of 1 s for 1,500 workers fill a link of 20 Mbit/s.
+HOLD_WAIT_MS_PER_WORKER = 2
 DOUBT_HOLD_WAIT_MS = 100  # while a list must tell whether a run exists
 HOLD_RETRY_DELAY_MS = 200
 
@@ -53,15 +56,18 @@
         if self._addresses.pop(worker_id, None) is not None:
             tell(self._connections, CloseWorker(worker_id))
 
-    def hold(
-        self, worker_id, fence, deadline_ms, acknowledged_upto, max_wait_ms=HOLD_WAIT_MS
-    ):
-        """Hold a worker now; it answers after an end or `max_wait_ms`.
+    def hold(self, worker_id, fence, deadline_ms, acknowledged_upto, has_doubtful_runs):
+        """Hold a worker now; it answers after an end or a wait.
 
-        Without a deadline (0), as while the worker's clock is not known yet, the worker
-        answers at once and renews nothing.
+        The wait is short while a list must tell whether a run exists. Without a
+        deadline (0), as while the worker's clock is not known yet, the worker answers
+        at once and renews nothing.
         """
-        wait_ms = max_wait_ms if deadline_ms else 0
+        wait_ms = DOUBT_HOLD_WAIT_MS
+        if not has_doubtful_runs:
+            wait_ms = hold_wait_ms(len(self._addresses))
+        if not deadline_ms:
+            wait_ms = 0
         tell(
             self._connections,
             HoldRequest(worker_id, fence, deadline_ms, acknowledged_upto, wait_ms),
@@ -75,3 +81,9 @@
     def order(self, message):
         """Send an order to its worker."""
         tell(self._connections, message)
+
+
+def hold_wait_ms(worker_count):
+    """Return how long a worker may wait for an end, longer with many workers."""
+    wait_ms = HOLD_WAIT_MS_PER_WORKER * worker_count
+    return min(MAX_HOLD_WAIT_MS, max(MIN_HOLD_WAIT_MS, wait_ms))
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -12,6 +12,9 @@
     HoldResponse,
     OrderRequest,
 )
+from knapweedshed.decisions.tracked_workers import MAX_ANSWER_AGE_MS
+from knapweedshed.links.worker_connections import ANSWER_TIMEOUT_MS
+from knapweedshed.links.worker_links import MAX_HOLD_WAIT_MS, hold_wait_ms
 from knapweedshed.models.dispatch_actions import ORDER_DONE, ORDER_UNKNOWN, StopRun
 from knapweedshed.models.outcomes import NoAnswer, NotSent
 from knapweedshed.models.work import HoldAnswer, Resources, Task, WorkerEntry
@@ -206,5 +209,16 @@
         self.assertLess(time.monotonic() - started_s, MAX_FAILURE_S)
 
 
+class HoldWaitTest(unittest.TestCase):
+    """Holds of many workers are fewer a second, so that a weak link carries them."""
+
+    def test_wait_grows_with_the_number_of_workers_within_its_limits(self):
+        waits = [hold_wait_ms(count) for count in (24, 270, 500, 800, 1_000, 12_000)]
+        self.assertEqual(waits, [1_000, 1_000, 1_000, 1_600, 2_000, 2_000])
+
+    def test_worker_counts_as_usable_throughout_the_longest_wait(self):
+        self.assertGreater(MAX_ANSWER_AGE_MS, MAX_HOLD_WAIT_MS + ANSWER_TIMEOUT_MS)
+
+
 if __name__ == "__main__":
     unittest.main()
