Ignore a worker's answer from before a restart that is known already

The list shows that a worker has restarted; then an answer to an older hold arrives, from its earlier life. The dispatcher took that for another restart, kept the old life's end numbers, and with them acknowledged the new life's ends, which it had never seen. It follows from the code and the order of the log lines (the restart was noticed 0.2 s before); the answer itself is not logged.

Change: an answer to a hold that was sent before the restart was noticed is ignored. A lower incarnation alone is no reason: the worker's time of day may be set back. The test fails before.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -131,7 +131,9 @@
                 )
                 self._workers[entry.worker_id] = worker
             orders.extend(
-                self._handle_removed_runs(worker, worker.update_entry(entry), now_ms)
+                self._handle_removed_runs(
+                    worker, worker.update_entry(entry, now_ms), now_ms
+                )
             )
         for worker_id, worker in list(self._workers.items()):
             if worker_id not in listed:
--- a/knapweedshed/decisions/takeover.py
+++ b/knapweedshed/decisions/takeover.py
@@ -29,7 +29,7 @@
             workers_by_task = {}
             tasks = tasks_of_unit(unit, step)
             for task, placement in zip(tasks, launched.workers, strict=True):
-                worker = _worker_at(workers, placement, lease_expiry_ms, limits)
+                worker = _worker_at(workers, placement, lease_expiry_ms, limits, now_ms)
                 worker.assigned_runs[task, launched.run] = AssignedRun(
                     task, launched.run, step.need, RunPhase.RUNNING, now_ms, now_ms
                 )
@@ -47,7 +47,7 @@
     return unit_runs
 
 
-def _worker_at(workers, placement, lease_expiry_ms, limits):
+def _worker_at(workers, placement, lease_expiry_ms, limits, now_ms):
     """Return the tracked worker at (worker id, incarnation), added if missing."""
     worker_id, incarnation = placement
     worker = workers.get(worker_id)
@@ -56,5 +56,5 @@
             worker_id, incarnation, lease_expiry_ms, limits.lease_ms
         )
     elif worker.incarnation < incarnation:
-        worker.handle_restart(incarnation)
+        worker.handle_restart(incarnation, now_ms)
     return worker
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -92,6 +92,7 @@
         self.unrecorded_ends = {}
         self.quarantined_until_ms = 0
         self.consecutive_failures = 0
+        self._restart_noticed_ms = -1
         self._lease_expiry_ms = lease_expiry_ms
         self._lease_ms = lease_ms
         self._worker_clock_ms = 0
@@ -154,7 +155,7 @@
         self._update_lease_expiry()
         return lease_end_clock_ms
 
-    def update_entry(self, entry):
+    def update_entry(self, entry, now_ms):
         """Store an entry of the list; return the runs removed if the worker restarted.
 
         The list lags behind: an entry of an earlier incarnation than the one that the
@@ -164,13 +165,13 @@
         removed = ()
         is_stale = self.has_answered and entry.incarnation < self.incarnation
         if not is_stale and entry.incarnation != self.incarnation:
-            removed = self.handle_restart(entry.incarnation)
+            removed = self.handle_restart(entry.incarnation, now_ms)
         if self.entry is not None and self.entry.incarnation == entry.incarnation:
             entry = entry._replace(draining=entry.draining or self.entry.draining)
         self.entry = entry
         return removed
 
-    def handle_restart(self, incarnation):
+    def handle_restart(self, incarnation, now_ms):
         """Remove and return all runs that the worker listed before it restarted.
 
         Runs that it never listed stay: their starts may reach the new incarnation.
@@ -181,6 +182,7 @@
                 del self.assigned_runs[key]
                 removed.append(RemovedRun(assigned_run, EndKind.LAPSED))
         self.incarnation = incarnation
+        self._restart_noticed_ms = now_ms
         self.has_answered = False
         self.last_end_number = 0
         self.unrecorded_ends = {}
@@ -201,11 +203,15 @@
     def apply_hold_answer(self, answer, sent_ms, now_ms):
         """Apply a `HoldAnswer` to a hold that was sent at `sent_ms`.
 
-        Returns (removed runs, new ends, listed runs that are not assigned).
+        Returns (removed runs, new ends, listed runs that are not assigned). An answer
+        to a hold that was sent before a restart was noticed may come from the life
+        before it: its ends have other numbers, and its runs are gone.
         """
         removed = []
         if answer.incarnation != self.incarnation:
-            removed.extend(self.handle_restart(answer.incarnation))
+            if sent_ms < self._restart_noticed_ms:
+                return [], (), ()
+            removed.extend(self.handle_restart(answer.incarnation, now_ms))
         if not self.has_answered:
             # A predecessor, or this host before it restarted, may have renewed the
             # lease up to this moment.
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from knapweedshed import clock
-from knapweedshed.models.work import TaskRun
+from knapweedshed.models.work import EndKind, HoldAnswer, TaskEnd, TaskRun
 from tests.dispatch_harness import DispatchHarness, make_entry, make_job
 
 LEASE_MS = 6_000  # of the harness
@@ -80,6 +80,31 @@
         unanswered = dispatcher.hold_parameters(self.worker_id, now_ms, answered=False)
         self.assertEqual(unanswered, (0, 0))
 
+    def test_answer_from_before_a_restart_that_the_list_showed_changes_nothing(self):
+        dispatcher, sent_ms = self.harness.dispatcher, self.harness.now_ms
+        self.harness.now_ms += 50
+        self.harness.entries[self.number] = make_entry(self.number, incarnation=2)
+        self.harness.apply_worker_list()
+        end = TaskEnd(3, self.harness.started[0].task, 1, EndKind.DONE)
+        answer = HoldAnswer(self.harness.now_ms, 1, (), (end,))
+        self.harness.now_ms += 10
+        dispatcher.handle_hold_answer(
+            self.worker_id, answer, sent_ms, self.harness.now_ms
+        )
+        worker = dispatcher.workers[self.worker_id]
+        self.assertEqual(worker.incarnation, 2)
+        self.assertEqual(worker.last_acknowledgeable_end, 0)
+
+    def test_restart_that_an_answer_shows_is_noticed_whatever_its_number(self):
+        for incarnation in (5, 3):  # the worker's time of day may have been set back
+            self.harness.now_ms += 10
+            answer = HoldAnswer(self.harness.now_ms, incarnation, (), ())
+            self.harness.dispatcher.handle_hold_answer(
+                self.worker_id, answer, self.harness.now_ms, self.harness.now_ms
+            )
+            worker = self.harness.dispatcher.workers[self.worker_id]
+            self.assertEqual(worker.incarnation, incarnation)
+
     def test_draining_worker_stays_draining_for_its_incarnation(self):
         harness = DispatchHarness(entries=[make_entry(0, draining=True)])
         harness.start_term()
