--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -101,7 +101,7 @@
         self._pending_appends = {}
         now_ms = context.clock.now_ms()
         self._election = LeaderElection(
-            self._host_id, settings.cores, context.random, now_ms
+            self._host_id, settings.cores, context.random, now_ms, settings.link_mbps
         )
         self._log_unreadable_since_ms = None
         self._last_heartbeat_ms = 0
--- a/knapweedshed/decisions/leadership.py
+++ b/knapweedshed/decisions/leadership.py
@@ -11,6 +11,7 @@
 HEARTBEAT_PERIOD_MS = 450  # short enough to tell a silent host from a slow log
 CLAIM_JITTER_MS = 400  # spreads the claims of hosts that time out together
 WEAK_HOST_DELAY_MS = 600  # above the jitter: the weakest host claims after all others
+SUFFICIENT_LINK_MBPS = 50.0  # acting for 1,500 workers takes 9 Mbit/s and more
 SUFFICIENT_CORES_COUNT = 1.0  # acting for 176 workers under light load takes 0.36 cores
 CLAIM_RETRY_MS = 1_500  # a claim that is not read back by then is repeated
 # After an outage of the log the acting host is given this time to be heard again: its
@@ -42,18 +43,20 @@
     """One host's part in the election; the `ledger` arguments are its `WorkLedger`.
 
     `host` is its name and incarnation, separated by a slash; `cores` is its number of
-    processor cores; `random` provides the jitter.
+    processor cores, `link_mbps` the bandwidth of its link; `random` provides the
+    jitter.
     """
 
-    def __init__(self, host, cores, random, now_ms):
+    def __init__(self, host, cores, random, now_ms, link_mbps=SUFFICIENT_LINK_MBPS):
         self._host = host
         self._cores = cores
+        self._link_mbps = link_mbps
         self._random = random
         self._leader_heard_ms = now_ms
         self._log_read_ms = now_ms
         self._caught_up = False
         self._claimed_ms = -1
-        self._delay_ms = claim_delay_ms(cores, random)
+        self._delay_ms = claim_delay_ms(cores, random, link_mbps)
         self._leaving = False
         self._fenced_epoch = 0
 
@@ -96,7 +99,7 @@
         if not should_claim(self._state(ledger), now_ms, self._delay_ms):
             return False
         self._claimed_ms = now_ms
-        self._delay_ms = claim_delay_ms(self._cores, self._random)
+        self._delay_ms = claim_delay_ms(self._cores, self._random, self._link_mbps)
         return True
 
     def _state(self, ledger):
@@ -129,9 +132,13 @@
     )
 
 
-def claim_delay_ms(cores, random):
-    """Return how long a host delays its claim: a jitter, and more with few cores."""
-    weakness = max(0.0, 1 - cores / SUFFICIENT_CORES_COUNT)
+def claim_delay_ms(cores, random, link_mbps=SUFFICIENT_LINK_MBPS):
+    """Return how long a host delays its claim: a jitter, and more if it is weak.
+
+    A host is as weak as the weaker of its processor and its link.
+    """
+    strength = min(cores / SUFFICIENT_CORES_COUNT, link_mbps / SUFFICIENT_LINK_MBPS)
+    weakness = max(0.0, 1 - strength)
     return random.randrange(CLAIM_JITTER_MS) + int(weakness * WEAK_HOST_DELAY_MS)
 
 
--- a/knapweedshed/models/host_settings.py
+++ b/knapweedshed/models/host_settings.py
@@ -10,7 +10,8 @@
     `grace_ms` is the time from a stop request to the end of the process, `lease_ms` the
     longest lease that workers grant, `early_ms` how long before its due time a job may
     start, and `log_keep_ms` how long the log retains a record. `cores` is the
-    processing power available to the host, in cores.
+    processing power available to the host, in cores, and `link_mbps` the bandwidth of
+    its link.
     """
 
     name: str
@@ -22,3 +23,4 @@
     early_ms: int
     log_keep_ms: int = 300_000
     cores: float = 1.0
+    link_mbps: float = 1_000.0
--- a/knapweedshed/platform/settings.py
+++ b/knapweedshed/platform/settings.py
@@ -22,10 +22,12 @@
 
 def decode_settings(fields):
     """Return (`HostSettings`, store address); raises ValueError naming the setting."""
-    cores = 1.0
+    limits = {}
     if isinstance(fields, dict) and "limits" in fields:
         cpu_share = _number(fields, "limits", "cpu_share")
-        cores = cpu_share * _number(fields, "limits", "cores")
+        limits["cores"] = cpu_share * _number(fields, "limits", "cores")
+        if fields["limits"].get("link_mbps") is not None:
+            limits["link_mbps"] = _number(fields, "limits", "link_mbps")
     settings = HostSettings(
         name=_text(fields, "node"),
         data_centre=_text(fields, "zone"),
@@ -35,7 +37,7 @@
         lease_ms=int(_number(fields, "bounds", "hold_max_ms")),
         early_ms=int(_number(fields, "bounds", "early_ms")),
         log_keep_ms=int(_number(fields, "platform", "keep_s") * MS_PER_SECOND),
-        cores=cores,
+        **limits,
     )
     return settings, _address(fields, "platform", "addr")
 
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -272,6 +272,14 @@
         self.assertEqual((settings.name, settings.lease_ms), ("edge-1", 6_000))
         self.assertEqual(store, "127.0.0.1:8524")
 
+    def test_limits_of_the_host_are_decoded_as_far_as_they_are_given(self):
+        limits = {"cpu_share": 0.5, "cores": 3, "link_mbps": 20.0}
+        settings, _ = decode_settings({**SETTINGS, "limits": limits})
+        self.assertEqual((settings.cores, settings.link_mbps), (1.5, 20.0))
+        limits["link_mbps"] = None
+        settings, _ = decode_settings({**SETTINGS, "limits": limits})
+        self.assertEqual(settings.link_mbps, 1_000.0)
+
     def test_invalid_settings_raise_an_error(self):
         for change in ({"listen": {}}, {"bounds": {"grace_s": "x"}}, {"node": None}):
             fields = {**SETTINGS, **change}
--- a/tests/test_work_roles.py
+++ b/tests/test_work_roles.py
@@ -72,6 +72,11 @@
         self.assertLess(latest_with_many_cores, earliest_with_few_cores)
         self.assertLess(claim_delay_ms(2.0, Random(1)), CLAIM_JITTER_MS)
 
+    def test_hosts_with_a_weak_link_claim_later(self):
+        latest = max(claim_delay_ms(2.0, Random(n), 100) for n in range(200))
+        earliest = min(claim_delay_ms(2.0, Random(n), 10) for n in range(200))
+        self.assertLess(latest, earliest)
+
     def test_no_orders_once_the_log_was_not_read_for_too_long(self):
         acting = FOLLOWER_STATE._replace(acting_host="me")
         self.assertTrue(may_send_orders(acting, 10_000 + MAX_ACTING_WITHOUT_LOG_MS - 1))
