Compute the units with unrecorded ends once, in one place

Also: one constant for the size of a receive, a docstring of the soak that named a field it hasn't, an argument nobody read. Behaviour and tests' assertions are unchanged.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -239,6 +239,7 @@
     def confirm_launches(self, launches, now_ms):
         """Start launches read back from the log under this epoch; return orders."""
         orders = []
+        with_unrecorded_end = self._units_with_unrecorded_ends()
         for launched in launches:
             unit_run = self._unit_runs.get(launched.unit)
             if unit_run is None or unit_run.run != launched.run or unit_run.launched:
@@ -252,7 +253,10 @@
                 assigned_runs[task, unit_run.run] = assigned_runs[
                     task, unit_run.run
                 ]._replace(ordered_ms=now_ms)
-            if unit_run.ending or is_outdated or self._has_ended(launched.unit):
+            has_ended = launched.unit in with_unrecorded_end or self._is_over(
+                launched.unit
+            )
+            if unit_run.ending or is_outdated or has_ended:
                 self._discard_unit_run(launched.unit)
             else:
                 orders.extend(self._start_orders(unit_run, now_ms))
@@ -307,9 +311,7 @@
         self._capacity_changed = False
         if self._configuration is None or not self._is_list_recent(now_ms):
             return []
-        with_unrecorded_end = {
-            self._unit_of(task) for task in self._unrecorded_ends.tasks()
-        }
+        with_unrecorded_end = self._units_with_unrecorded_ends()
         waiting_units = [
             unit
             for unit in ready_units(self._ledger, wall_ms + self._limits.early_ms // 2)
@@ -478,14 +480,14 @@
         accepted = all(worker.accepts_work(now_ms) for worker in workers)
         return not (accepted and self._is_list_recent(now_ms))
 
-    def _has_ended(self, unit):
-        """Return whether an end of a unit is recorded as done or is being recorded."""
+    def _units_with_unrecorded_ends(self):
+        """Return the units with an end that a worker listed and the log lacks."""
+        return {self._unit_of(task) for task in self._unrecorded_ends.tasks()}
+
+    def _is_over(self, unit):
+        """Return whether a unit is recorded as done, or its job has ended."""
         progress = self._ledger.jobs[unit.job_id]
-        if unit in progress.done or not progress.active:
-            return True
-        return any(
-            self._unit_of(task) == unit for task in self._unrecorded_ends.tasks()
-        )
+        return unit in progress.done or not progress.active
 
     def _stop_repeated_runs(self, ends, now_ms):
         """Stop later runs of units of which an earlier run turns out to be done."""
--- a/knapweedshed/links/blocking_connection.py
+++ b/knapweedshed/links/blocking_connection.py
@@ -11,13 +11,13 @@
 from knapweedshed.clock import MS_PER_SECOND
 from knapweedshed.links.http_messages import (
     MAX_IDLE_MS,
+    RECEIVE_BUFFER_BYTES,
     HttpParseError,
     ResponseParser,
     encode_request,
 )
 from knapweedshed.models.outcomes import NoAnswer, NotSent
 
-RECEIVE_BUFFER_BYTES = 65_536
 # A page of the log takes some seconds where many hosts start on slow links.
 MAX_EXCHANGE_MS = 30_000
 
--- a/knapweedshed/links/http_connection.py
+++ b/knapweedshed/links/http_connection.py
@@ -7,12 +7,12 @@
 
 from knapweedshed.links.http_messages import (
     MAX_IDLE_MS,
+    RECEIVE_BUFFER_BYTES,
     HttpParseError,
     ResponseParser,
 )
 from knapweedshed.models.outcomes import NoAnswer, NotSent
 
-RECEIVE_BUFFER_BYTES = 65_536
 READ_AND_WRITE = selectors.EVENT_READ | selectors.EVENT_WRITE
 
 
--- a/knapweedshed/links/http_messages.py
+++ b/knapweedshed/links/http_messages.py
@@ -5,6 +5,7 @@
 import httptools
 
 MAX_IDLE_MS = 10_000
+RECEIVE_BUFFER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 8_000_000  # a peer that sends more is broken
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -378,11 +378,11 @@
         """A key that was withdrawn long ago must not work at any host."""
         key, revoked_ms = rng.choice(sorted(self._revoked.items()))
         host = rng.choice(self._hosts)
-        if now_ms() - revoked_ms < 3 * CONFIG_MS or not self._is_calm(host):
+        if now_ms() - revoked_ms < 3 * CONFIG_MS or not self._is_calm():
             return
         deadline_s = time.monotonic() + 1
         status, _ = _call(host, "GET", f"{0:016x}", None, deadline_s, key)
-        if status not in (0, 401, 503) and self._is_calm(host):
+        if status not in (0, 401, 503) and self._is_calm():
             self._broken.append(f"KEY: {host.name} answers {status} to a revoked key")
 
     def _check_revoked_keys(self):
@@ -394,7 +394,7 @@
                 if status != 401:
                     self._broken.append(f"KEY: {host.name} answers {status} to {key}")
 
-    def _is_calm(self, host):
+    def _is_calm(self):
         """Return whether no fault is in progress that may delay a configuration."""
         return not self._restorations and not self._store.down
 
--- a/tests/soak_workers.py
+++ b/tests/soak_workers.py
@@ -22,7 +22,7 @@
 
 
 class RunState(NamedTuple):
-    """A run of a task at a worker; `present_ms` counts for the members of a gang."""
+    """A run of a task at a worker; members of a gang work once all are present."""
 
     worker: str
     run: int
