Review, case 5: guaranteed work never begins while work of its priority borrows

A script: a burst of long_running jobs of one tenant takes all accelerators, its own 48 and 144 that belong to others; a job of another tenant for 12 of its 48 doesn't begin.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -296,6 +296,10 @@
         """Return how long a task works."""
         return 1_000
 
+    def outcome(self, task):
+        """Return how a run ends that isn't stopped."""
+        return "done"
+
     def refuses(self, runner):
         """Return whether a runner answers starts with 503, as an unhealthy one does."""
         return False
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -17,20 +17,22 @@
 
 
 class Run:
-    """A run of a task at a runner."""
+    """A run of a task at a runner; `work_ms` is None for a task that lasts."""
 
     def __init__(self, task, run, need, work_ms):
         self.task = task
         self.run = run
         self.need = need
         self.work_ms = work_ms
+        self.lasts = work_ms is None
         self.started_ms = now_ms()
 
 
 class Fleet:
     """All runners; tells every start and end to the case's `observer`.
 
-    The observer has `need(task)`, `work_ms(task)`, `started(runner, run)`,
+    The observer has `need(task)`, `work_ms(task)`, `outcome(task)`,
+    `started(runner, run)`,
     `ended(runner, run, how, number)`, `noted(runner, task, run, how)`,
     `refuses(runner)` and `delay_order(runner, body)`.
     """
@@ -145,8 +147,8 @@
                 self._end(run, "lapsed")
         now = now_ms()
         for run in list(self.running.values()):
-            if now - run.started_ms >= run.work_ms:
-                self._end(run, "done")
+            if not run.lasts and now - run.started_ms >= run.work_ms:
+                self._end(run, self._fleet.observer.outcome(run.task))
         if time.monotonic() >= self._beat_due:
             await self.register()
 
@@ -205,7 +207,9 @@
                 run.task,
                 run.run,
                 "",
-                min(99, 100 * (now - run.started_ms) // run.work_ms),
+                100
+                if run.lasts
+                else min(99, 100 * (now - run.started_ms) // run.work_ms),
             ]
             for run in self.running.values()
         ]
