--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,8 +32,8 @@
         return {"cpu": 100, "mem_mb": 64}
 
     def work_ms(self, task):
-        # The tasks of a job end one after the other, from 7 to 13 s after their start.
-        return 7_000 + 100 * int(task.rpartition(".")[2])
+        # The tasks of a job end one after the other, 8 to 11.5 s after their start.
+        return 8_000 + 60 * int(task.rpartition(".")[2])
 
     def started(self, runner, run):
         self.starts += 1
@@ -77,7 +77,7 @@
             if status != 200:
                 raise CaseError(f"job not accepted: {status}")
         total = JOBS * TASKS_A_JOB
-        await self.wait(lambda: self.starts >= total, 8, "the tasks do not start")
+        await self.wait(lambda: self.starts >= total, 20, "the tasks do not start")
         await asyncio.sleep(BEFORE_OUTAGE_S)
         if self.trouble:
             began_s = time.monotonic()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,14 +18,14 @@
     "tn-north-bizerte",
 )
 RUNNERS = 8
-TASK = {"cpu": 250, "mem_mb": 256, "est_ms": 6_000}
+TASK = {"cpu": 250, "mem_mb": 256, "est_ms": 10_000}
 TASKS_A_JOB = 64
 FIRST_JOBS = 32  # as many as run at once: 8 x 64 cores / (64 x 0.25)
 LATER_JOBS = 32
 LEAD_S = 2.0
 BETWEEN_JOBS_S = 0.03
 OUTAGE_S = 6.0
-BEFORE_OUTAGE_S = 2.5
+BEFORE_OUTAGE_S = 5.5
 CALM_S = 7.0  # RULES.md: "if the 3 s and the 4 s before them are calm"
 PLAY_S = 45.0
 
@@ -42,7 +42,7 @@
         return TASK
 
     def work_ms(self, task):
-        return 6_000 + 50 * (int(task.rpartition(".")[2]) % 40)
+        return 10_000 + 20 * (int(task.rpartition(".")[2]) % 40)
 
     def started(self, runner, run):
         job_id = run.task.partition(".")[0]
@@ -102,7 +102,7 @@
             raise CaseError("jobs were not accepted")
         await self.wait(
             lambda: sum(self.starts.values()) >= FIRST_JOBS * TASKS_A_JOB,
-            10,
+            20,
             "the first tasks do not start",
         )
         await asyncio.sleep(BEFORE_OUTAGE_S)
