Start no task again whose end doesn't fit in a worker's answer

Cause: a worker lists at most 500 ends. While the log takes no ends, they aren't acknowledged, and a run whose end is the 501st or later is in neither list. TrackedWorker took that for a run that never existed. Ruled out: a lapsed lease (holds went on) and an end that was recorded late (the runs were removed before any record).

HoldAnswer says now whether it is complete, and only a complete answer removes unlisted runs. Runs that an incomplete answer leaves out don't count as stalled, or the hang detection would stop their worker's other runs.

--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -229,7 +229,10 @@
             if assigned_run is not None:
                 removed.append(RemovedRun(assigned_run, end.kind, end.saved))
         unassigned = self._update_listed_runs(answer.running, now_ms)
-        removed.extend(self._remove_unlisted_runs(answer.running, sent_ms))
+        if answer.is_complete:
+            removed.extend(self._remove_unlisted_runs(answer.running, sent_ms))
+        else:
+            self._keep_unlisted_runs(answer.running, now_ms)
         return removed, tuple(ends), unassigned
 
     def record_failure(self, now_ms):
@@ -308,7 +311,8 @@
     def _remove_unlisted_runs(self, running, sent_ms):
         """Remove and return the runs that the worker would list if they existed.
 
-        Only a hold sent after the answer to the last order is evidence of that.
+        Only a complete answer to a hold that was sent after the answer to the last
+        order is evidence of that.
         """
         listed = {(run.task, run.run) for run in running}
         removed = []
@@ -319,6 +323,16 @@
                 removed.append(RemovedRun(assigned_run, None))
         return removed
 
+    def _keep_unlisted_runs(self, running, now_ms):
+        """Keep the runs that a worker doesn't list, as their ends may not fit in.
+
+        A run that may have ended is not stalled.
+        """
+        listed = {(run.task, run.run) for run in running}
+        for key, assigned_run in self.assigned_runs.items():
+            if key not in listed:
+                self.assigned_runs[key] = assigned_run._replace(progressed_ms=now_ms)
+
 
 def total_need(assigned_runs):
     """Return the sum of the resources that assigned runs need."""
--- a/knapweedshed/models/work.py
+++ b/knapweedshed/models/work.py
@@ -197,13 +197,15 @@
     """A worker's answer to a hold: the runs on it, and the ends of earlier ones.
 
     A hold is a request that raises the worker's fence and renews its leases.
-    `clock_ms` is on the worker's clock.
+    `clock_ms` is on the worker's clock. `is_complete` is false if the worker may have
+    more ends than the answer lists: a run that is in neither list has not gone then.
     """
 
     clock_ms: int
     incarnation: int
     running: tuple[TaskRun, ...]
     ended: tuple[TaskEnd, ...]
+    is_complete: bool
 
 
 def unit_of_task(task, step):
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -22,6 +22,7 @@
 UNHEALTHY_STATUSES = (429, 503)
 INCARNATION_HEADER = "X-Knapweedshed-Expect-Instance"
 TASK_NAME_PARTS = 4
+MAX_LISTED_ENDS = 500  # a worker lists its oldest ends only, up to this number
 
 
 class JsonWorkerCodec(WorkerCodec):
@@ -101,7 +102,13 @@
         TaskEnd(int(row[0]), decode_task(row[1]), int(row[2]), EndKind(row[3]), row[4])
         for row in fields["ended"]
     )
-    return HoldAnswer(int(fields["clock_ms"]), int(fields["born"]), running, ended)
+    return HoldAnswer(
+        int(fields["clock_ms"]),
+        int(fields["born"]),
+        running,
+        ended,
+        is_complete=len(ended) < MAX_LISTED_ENDS,
+    )
 
 
 def _refusal_reason(response):
--- a/scripts/capacity_hosts.py
+++ b/scripts/capacity_hosts.py
@@ -99,7 +99,7 @@
     dispatcher.configure(ServiceConfiguration(1, (), organisations))
     dispatcher.update_workers(entries, 0)
     hold_answers = {
-        worker_id: HoldAnswer(0, 1, tuple(runs), ())
+        worker_id: HoldAnswer(0, 1, tuple(runs), (), True)
         for worker_id, runs in runs_by_worker.items()
     }
     for worker_id, hold_answer in hold_answers.items():
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -359,7 +359,7 @@
             for (task, number), run in self._runs_by_worker[worker_id].items()
         )
         hold_answer = HoldAnswer(
-            self._now_ms, 1, running, tuple(self._ends_by_worker[worker_id])
+            self._now_ms, 1, running, tuple(self._ends_by_worker[worker_id]), True
         )
         sent_ms = self._now_ms - ONE_WAY_DELAY_MS
         self._perform(
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -81,8 +81,9 @@
 
     Orders to workers in `lossy` are lost; workers in `unreachable` get neither orders
     nor holds. `started` and `stopped` are the orders sent, in order, and `records` the
-    other actions. Plans read the list of workers while it is `list_readable`. `now_ms`
-    serves as both the monotonic and the wall clock.
+    other actions. Plans read the list of workers while it is `list_readable`. While the
+    log is not `log_writable`, records are lost. Workers list `listed_ends` ends at a
+    time. `now_ms` serves as both the monotonic and the wall clock.
     """
 
     def __init__(self, workers=2, entries=None):
@@ -94,6 +95,8 @@
         self.ended = {entry.worker_id: [] for entry in self.entries}
         self.last_end_numbers = {entry.worker_id: 0 for entry in self.entries}
         self.list_readable = True
+        self.log_writable = True
+        self.listed_ends = 500
         self.lossy = set()
         self.unreachable = set()
         self.started = []
@@ -158,7 +161,8 @@
             self.now_ms,
             tracked_worker.entry.incarnation,
             tuple(self.running[worker_id].values()),
-            tuple(self.ended[worker_id]),
+            tuple(self.ended[worker_id][: self.listed_ends]),
+            len(self.ended[worker_id]) < self.listed_ends,
         )
         sent_ms = self.now_ms
         self.apply_actions(
@@ -185,7 +189,11 @@
     def apply_actions(self, actions):
         """Send orders, and append records as if the log confirmed them at once."""
         for action in actions:
-            if isinstance(action, RecordLaunches):
+            if isinstance(action, RecordLaunches) and not self.log_writable:
+                self.dispatcher.discard_launches(action.launches)
+            elif isinstance(action, RecordTaskEnds) and not self.log_writable:
+                continue
+            elif isinstance(action, RecordLaunches):
                 self.records.append(action)
                 self.append_record(RunsLaunched(self.epoch, action.launches))
                 self.apply_actions(
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -15,6 +15,7 @@
 
 MAX_READ_WAIT_S = 2.0
 SERVER_THREAD_COUNT = 16
+MAX_LISTED_ENDS = 500
 _SILENT_LOGGER = logging.getLogger("knapweedshed.silent")
 
 
@@ -218,7 +219,8 @@
             [name, run, "", int(100 * (now_s - started_s) / self.run_s)]
             for name, (run, started_s) in self._running.items()
         ]
-        return self._respond(200, {"running": running, "ended": self._ended})
+        ended = self._ended[:MAX_LISTED_ENDS]
+        return self._respond(200, {"running": running, "ended": ended})
 
     def _finish_due_tasks(self):
         now_s = time.monotonic()
--- a/tests/soak_workers.py
+++ b/tests/soak_workers.py
@@ -9,7 +9,7 @@
 import time
 from typing import NamedTuple
 
-from tests.fleet_standin import json_response, start_server
+from tests.fleet_standin import MAX_LISTED_ENDS, json_response, start_server
 
 MS_PER_SECOND = 1_000
 GANG_WAIT_MS = 3_000
@@ -218,7 +218,7 @@
             [name, state.run, "", min(100, 100 * state.worked_ms // state.work_ms)]
             for name, state in worker.runs.items()
         ]
-        return 200, {"running": running, "ended": worker.ended}
+        return 200, {"running": running, "ended": worker.ended[:MAX_LISTED_ENDS]}
 
     def _run(self):
         last_ms = now_ms()
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -86,7 +86,7 @@
         self.harness.entries[self.number] = make_entry(self.number, incarnation=2)
         self.harness.apply_worker_list()
         end = TaskEnd(3, self.harness.started[0].task, 1, EndKind.DONE)
-        answer = HoldAnswer(self.harness.now_ms, 1, (), (end,))
+        answer = HoldAnswer(self.harness.now_ms, 1, (), (end,), True)
         self.harness.now_ms += 10
         dispatcher.handle_hold_answer(
             self.worker_id, answer, sent_ms, self.harness.now_ms
@@ -98,7 +98,7 @@
     def test_restart_that_an_answer_shows_is_noticed_whatever_its_number(self):
         for incarnation in (5, 3):  # the worker's time of day may have been set back
             self.harness.now_ms += 10
-            answer = HoldAnswer(self.harness.now_ms, incarnation, (), ())
+            answer = HoldAnswer(self.harness.now_ms, incarnation, (), (), True)
             self.harness.dispatcher.handle_hold_answer(
                 self.worker_id, answer, self.harness.now_ms, self.harness.now_ms
             )
