Read changes to the list of workers to their end before using the list

A host that acts again after a minute reads the changes to the list of workers one page of 512 kB at a time, each 300 ms, and took each page for the present list: 24 workers got work 5.5 s into their drain.

KeyedTopic.read_changes now reads up to the end that the store reports, or fails and goes on from there in the next call. A list of keys whose last page is missing is a failure instead of a short list.

Looked at for the same cause, and sound: lists of running tasks have no limit; the first read of keyed topics goes on from the end that its first page names; a worker that is missing from the list keeps its runs until their lease lapses.

The stand-in of the store keeps the limits of pages now. Without the change two of the new tests fail, and a third has nothing to set.

--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -2,7 +2,7 @@
 
 from knapweedshed.codecs import json_text
 from knapweedshed.links.service import ConfigurationFeed, WorkerFeed
-from knapweedshed.models.outcomes import FAILURE_TYPES
+from knapweedshed.models.outcomes import FAILURE_TYPES, NoAnswer
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     Queue,
@@ -14,6 +14,7 @@
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
+MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
 WORKER_STATES = ("ready", "draining")
 
 
@@ -24,6 +25,7 @@
         self._store = Store(clock, address)
         self._topic = topic
         self._next_offset = -1
+        self._changes = {}
 
     def close(self):
         """Close the connection."""
@@ -34,27 +36,35 @@
 
         Values are bytes; b"" says that the key was deleted. If `is_complete`, all keys
         of the topic are in the result: at the first read, and after the log dropped
-        records that were not read yet.
+        records that were not read yet. Otherwise the result has all changes up to the
+        end of the topic. After a failure the next call returns what was read before it.
         """
         if self._next_offset < 0:
             return self._read_all()
-        page = self._store.read(self._topic, self._next_offset, wait_ms)
-        if isinstance(page, FAILURE_TYPES):
-            return page
-        if (
-            page.first_offset != self._next_offset
-            or page.first_retained > self._next_offset
-        ):
-            return self._read_all()
-        self._next_offset += len(page.bodies)
-        records = [_decode_keyed_record(body) for body in page.bodies]
-        return dict(record for record in records if record is not None), False
+        for _ in range(MAX_PAGES_COUNT):
+            page = self._store.read(self._topic, self._next_offset, wait_ms)
+            if isinstance(page, FAILURE_TYPES):
+                return page
+            if (
+                page.first_offset != self._next_offset
+                or page.first_retained > self._next_offset
+            ):
+                return self._read_all()
+            self._next_offset += len(page.bodies)
+            records = [_decode_keyed_record(body) for body in page.bodies]
+            self._changes.update(record for record in records if record is not None)
+            if self._next_offset >= page.end:
+                changes, self._changes = self._changes, {}
+                return changes, False
+            wait_ms = 0
+        return NoAnswer(f"the end of {self._topic} is not reached")
 
     def _read_all(self):
         result = self._store.read_newest(self._topic)
         if isinstance(result, FAILURE_TYPES):
             return result
         values, self._next_offset = result
+        self._changes = {}
         return values, True
 
 
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -125,7 +125,9 @@
                     values[item["key"]] = json_text.decode_base64(item["value"])
                     last_key = item["key"]
                 end = page["end"] if end < 0 else end
-                has_more = bool(page.get("more_pages")) and bool(page["items"])
+                has_more = bool(page.get("more_pages"))
+                if has_more and not page["items"]:
+                    return NoAnswer("list of keys ends before its last page")
             except DECODE_ERRORS as error:
                 return NoAnswer(f"list of keys can't be decoded: {error}")
         return values, end
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -16,6 +16,9 @@
 MAX_READ_WAIT_S = 2.0
 SERVER_THREAD_COUNT = 16
 MAX_LISTED_ENDS = 500
+DEFAULT_READ_KB = 1_024
+NEWEST_PAGE_ITEMS = 500
+LENGTH_BYTES = 4
 _SILENT_LOGGER = logging.getLogger("knapweedshed.silent")
 
 
@@ -81,7 +84,7 @@
         if call.path == "/v1/log-read":
             return self._read(topic, call.query)
         if call.path == "/v1/log-newest":
-            return self._newest(topic)
+            return self._newest(topic, call.query.get("depends_on", ""))
         return json_response(404, {})
 
     def _append(self, topic, body):
@@ -107,12 +110,11 @@
             )
             stored = self.topics.get(topic, [])
             header = struct.pack(">QQ", len(stored), self.first_offsets.get(topic, 0))
-            framed_records = [
-                struct.pack(">I", len(r)) + r for r in stored[from_offset:]
-            ]
-        return HttpResponse(200, header + b"".join(framed_records))
+            max_bytes = int(query.get("max_kb", DEFAULT_READ_KB)) * 1_024
+            page = b"".join(_take_page(stored[from_offset:], max_bytes))
+        return HttpResponse(200, header + page)
 
-    def _newest(self, topic):
+    def _newest(self, topic, after_key):
         with self._changed:
             stored = self.topics.get(topic, [])
             newest = {}
@@ -126,14 +128,30 @@
                     "value": base64.b64encode(value).decode(),
                     "offset": offset,
                 }
-                for key, (value, offset) in newest.items()
-                if value
+                for key, (value, offset) in sorted(newest.items())
+                if value and key > after_key
             ]
+            page = items[:NEWEST_PAGE_ITEMS]
             return json_response(
-                200, {"items": items, "more_pages": False, "end": len(stored)}
+                200,
+                {
+                    "items": page,
+                    "more_pages": len(page) < len(items),
+                    "end": len(stored),
+                },
             )
 
 
+def _take_page(records, max_bytes):
+    """Yield framed records up to `max_bytes` in total, and at least one."""
+    size = 0
+    for record in records:
+        size += LENGTH_BYTES + len(record)
+        if size > max_bytes and size > LENGTH_BYTES + len(record):
+            return
+        yield struct.pack(">I", len(record)) + record
+
+
 class FakeWorker:
     """Runs each task for `run_s` seconds and refuses calls with a lower fence.
 
--- a/tests/test_partial_lists.py
+++ b/tests/test_partial_lists.py
@@ -1,10 +1,18 @@
 """Absence from a partial answer is not evidence that something is gone."""
 
+import logging
 import unittest
+from unittest import mock
 
+from knapweedshed.clock import create_clock
+from knapweedshed.models.outcomes import FAILURE_TYPES, NoAnswer
 from knapweedshed.models.work import Resources
+from knapweedshed.platform import feeds
+from knapweedshed.platform.feeds import StoreWorkerFeed
 from knapweedshed.platform.workers import decode_hold_answer
 from tests.dispatch_harness import DispatchHarness, make_job, make_step
+from tests.fleet_standin import NEWEST_PAGE_ITEMS, FakeStore
+from tests.ports import free_port
 
 SMALL_TASK = Resources(100, 64, 0)
 TASK_COUNT = 4
@@ -78,5 +86,59 @@
             self.assertEqual(decode_hold_answer(fields).is_complete, is_complete)
 
 
+class WorkerListPagesTest(unittest.TestCase):
+    """The list of workers, and its changes, take more than one page."""
+
+    def setUp(self):
+        self.store = FakeStore(free_port())
+        self.addCleanup(self.store.close)
+        logger = logging.getLogger("knapweedshed.silent")
+        self.feed = StoreWorkerFeed(create_clock(), self.store.address, logger)
+        self.addCleanup(self.feed.close)
+
+    def _write(self, name, state="ready", padding=""):
+        entry = {
+            "service": "planner",
+            "addr": "127.0.0.1:9000",
+            "zone": "tunis",
+            "state": state,
+            "capacity": {"cpu": 1_000, "mem_mb": 1_000, "gpu": 1},
+            "labels": ["a"],
+            "born": 1,
+            "version": padding,
+        }
+        self.store.put("keyed.servers", name, entry)
+
+    def test_changes_are_read_to_the_end_before_the_list_is_used(self):
+        # DRAIN: a host that acted again gave 24 workers work 5.5 s into their drain.
+        self._write("i-1")
+        self.assertFalse(self.feed.read()[0].draining)
+        for _ in range(8):
+            self._write("i-1", padding="x" * 200_000)
+        self._write("i-1", state="draining")
+        self.assertTrue(self.feed.read()[0].draining)
+
+    def test_list_is_not_used_before_its_end_is_reached(self):
+        self._write("i-1")
+        self.feed.read()
+        for _ in range(8):
+            self._write("i-1", padding="x" * 200_000)
+        self._write("i-1", state="draining")
+        with mock.patch.object(feeds, "MAX_PAGES_COUNT", 2):
+            results = [self.feed.read() for _ in range(3)]
+        self.assertIsInstance(results[0], FAILURE_TYPES)
+        self.assertTrue(results[-1][0].draining)
+
+    def test_all_pages_of_the_first_list_are_read(self):
+        for number in range(NEWEST_PAGE_ITEMS + 5):
+            self._write(f"i-{number:04}")
+        self.assertEqual(len(self.feed.read()), NEWEST_PAGE_ITEMS + 5)
+
+    def test_list_that_ends_before_its_last_page_is_a_failure(self):
+        self._write("i-1")
+        with mock.patch("tests.fleet_standin.NEWEST_PAGE_ITEMS", 0):
+            self.assertIsInstance(self.feed.read(), NoAnswer)
+
+
 if __name__ == "__main__":
     unittest.main()
