Split records that the log would reject, and treat rejections as final

Cause: all launches of a plan went into one record. Beyond about 1,760 launches it exceeds record_bytes; the store rejects it with 400, which the adapter took for an unknown outcome, and the host appended the same record for ever, pausing all launches each time.

Rejected is an outcome of its own: the appender isolates the record, the controller halves it, and what can't be halved is logged and postponed. A job whose record takes more than half of a record is answered 413, a gang of more than 4,000 tasks 400.

Every status of the store: 200; later: 409, 412, 429, 503, 507; final: 400, 403, 404, 413; all others stay unknown, and are repeated as before.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -34,6 +34,7 @@
     retry_after_ms,
 )
 from knapweedshed.decisions.log_reachability import LogReachability
+from knapweedshed.decisions.record_parts import max_job_record_bytes
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.filters.work_calls import refused_reply
 from knapweedshed.models.calls import CallKind, WorkReply
@@ -72,8 +73,9 @@
 class JobsController(Controller):
     """Accepts, cancels and reports jobs; the log is the only source of truth."""
 
-    def __init__(self, context, appender):
+    def __init__(self, context, appender, max_record_bytes):
         super().__init__(context)
+        self._max_job_bytes = max_job_record_bytes(max_record_bytes)
         self._appender = appender
         self._calls = None
         self._ledger = WorkLedger()
@@ -164,6 +166,10 @@
         """
         now_ms = self._context.clock.now_ms()
         self._log_reachability.note_append_failed(message.record_id, now_ms)
+        if message.final:
+            self._context.logger.error(
+                "record rejected by the log", extra={"reason": message.reason}
+            )
         pending = self._pending_appends.get(message.record_id)
         if pending is None:
             return
@@ -253,7 +259,15 @@
             self._send_answer(call, self._not_appended_reply(call.job_id))
             return
         record = WorkAccepted(_create_job(call, self._context.clock.wall_ms()))
-        self._submit_record_ids[call.job_id] = self._append_record(call, record)
+        text = json_text.dumps(record)
+        if len(text) > self._max_job_bytes:
+            reason = (
+                f"the job's record has {len(text)} bytes, {self._max_job_bytes} at"
+                " most are allowed"
+            )
+            self._send_answer(call, refused_reply(ResultCode.BODY_TOO_LARGE, reason))
+            return
+        self._submit_record_ids[call.job_id] = self._append_record(call, text)
 
     def _cancel_job(self, call):
         if call.job_id not in self._ledger.jobs:
@@ -267,7 +281,7 @@
                 call, self._log_unavailable_reply("the log does not answer")
             )
             return
-        self._append_record(call, WorkCancelled(call.job_id))
+        self._append_record(call, json_text.dumps(WorkCancelled(call.job_id)))
 
     def _report_state(self, call):
         progress = self._ledger.jobs.get(call.job_id)
@@ -297,11 +311,9 @@
         waiting = self._ledger.pending_count(call.queue.name)
         self._send_answer(call, WorkReply(waiting=waiting))
 
-    def _append_record(self, call, record):
+    def _append_record(self, call, text):
         record_id = self._context.new_id()
-        append_request = AppendRecord(
-            WORK_STREAM, record_id, json_text.dumps(record), self.actor_ref
-        )
+        append_request = AppendRecord(WORK_STREAM, record_id, text, self.actor_ref)
         maybe_written = self._unknown_outcomes.holds(
             call.job_id, self._context.clock.now_ms()
         )
--- a/knapweedshed/controllers/messages.py
+++ b/knapweedshed/controllers/messages.py
@@ -46,11 +46,15 @@
 
 
 class AppendFailed(NamedTuple):
-    """The append failed; with `unknown` the record may be in the log even so."""
+    """The append failed; with `unknown` the record may be in the log even so.
+
+    With `final` the log will never take the record.
+    """
 
     record_id: str
     unknown: bool
     reason: str
+    final: bool = False
 
 
 class RecordsRead(NamedTuple):
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -32,13 +32,14 @@
     UseWorkerFeed,
     WorkersListed,
 )
-from knapweedshed.controllers.work_stream import decode_records
+from knapweedshed.controllers.work_stream import decode_records, encode_in_parts
 from knapweedshed.decisions.dispatch import Dispatcher
 from knapweedshed.decisions.leadership import (
     HEARTBEAT_PERIOD_MS,
     MAX_ACTING_WITHOUT_LOG_MS,
     LeaderElection,
 )
+from knapweedshed.decisions.record_parts import halve_record
 from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
@@ -110,6 +111,7 @@
         self._resign_reply = None
         self._term_epoch = 0
         self._snapshot_schedule = SnapshotSchedule(settings.log_keep_ms)
+        self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
         self._planning_scheduled = False
         self._plan_delay_ms = MIN_PLAN_DELAY_MS
@@ -248,9 +250,13 @@
         record = self._pending_appends.get(message.record_id)
         if record is None:
             return
+        if message.final:
+            del self._pending_appends[message.record_id]
+            self._handle_rejected_record(record, message.reason)
+            return
         self._launches_paused_until_ms = self._now_ms() + LOG_RETRY_DELAY_MS
         if isinstance(record, RunsLaunched) and message.unknown:
-            again = self._create_append(message.record_id, record)
+            again = self._create_append(message.record_id, json_text.dumps(record))
             self._timer.after(LOG_RETRY_DELAY_MS, self._appender, again)
             return
         del self._pending_appends[message.record_id]
@@ -464,14 +470,38 @@
                 self._append_record(SpeedsLearned(self._ledger.epoch, speeds))
 
     def _append_record(self, record):
-        record_id = self._context.new_id()
-        self._pending_appends[record_id] = record
-        tell(self._appender, self._create_append(record_id, record))
-
-    def _create_append(self, record_id, record):
-        return AppendRecord(
-            WORK_STREAM, record_id, json_text.dumps(record), self.actor_ref
+        for part, text in encode_in_parts(record, self._max_record_bytes):
+            if text is None:
+                self._give_up_record(part, "it is larger than the log's records")
+                continue
+            record_id = self._context.new_id()
+            self._pending_appends[record_id] = part
+            tell(self._appender, self._create_append(record_id, text))
+
+    def _create_append(self, record_id, text):
+        return AppendRecord(WORK_STREAM, record_id, text, self.actor_ref)
+
+    def _handle_rejected_record(self, record, reason):
+        """Append a rejected record in smaller parts, or give it up."""
+        halves = halve_record(record)
+        if not halves:
+            self._give_up_record(record, reason)
+        for half in halves:
+            self._append_record(half)
+
+    def _give_up_record(self, record, reason):
+        """Log that the log can't take a record; its launches were never started."""
+        self._context.logger.error(
+            "record rejected by the log",
+            extra={
+                "record": type(record).__name__,
+                "reason": reason,
+                "content": str(record)[:300],
+            },
         )
+        if isinstance(record, RunsLaunched) and self._dispatcher is not None:
+            self._dispatcher.discard_launches(record.launches)
+            self._dispatcher.postpone_units(record.launches, self._now_ms())
 
     def _schedule_planning(self):
         if not self._planning_scheduled and self._dispatcher is not None:
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -56,6 +56,7 @@
 MAX_TICK_GAP_MS = 1_000  # ticks come each 200 ms; a longer gap is a pause of this host
 # After a pause answers may wait that arrived meanwhile: time alone proves nothing yet.
 PAUSE_GRACE_MS = 1_500
+REJECTED_LAUNCH_DELAY_MS = 5_000
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
 NOT_STARTED_REASONS = (
     REASON_STALE_RUN,
@@ -95,6 +96,7 @@
         self._capacity_changed = True
         self._waiting_since_ms = {}
         self._preemption_claims = PreemptionClaims()
+        self._postponed_units = {}
 
     @property
     def capacity_changed(self):
@@ -262,6 +264,16 @@
                 orders.extend(self._start_orders(unit_run, now_ms))
         return orders
 
+    def postpone_units(self, launches, now_ms):
+        """Launch units again later whose launches the log has rejected."""
+        self._postponed_units = {
+            unit: until_ms
+            for unit, until_ms in self._postponed_units.items()
+            if until_ms > now_ms
+        }
+        for launched in launches:
+            self._postponed_units[launched.unit] = now_ms + REJECTED_LAUNCH_DELAY_MS
+
     def discard_launches(self, launches):
         """Drop launches that were certainly not written, and so never started."""
         for launched in launches:
@@ -315,7 +327,9 @@
         waiting_units = [
             unit
             for unit in ready_units(self._ledger, wall_ms + self._limits.early_ms // 2)
-            if unit not in self._unit_runs and unit not in with_unrecorded_end
+            if unit not in self._unit_runs
+            and unit not in with_unrecorded_end
+            and now_ms >= self._postponed_units.get(unit, now_ms)
         ]
         self._waiting_since_ms = {
             unit[:3]: self._waiting_since_ms.get(unit[:3], now_ms)
--- a/knapweedshed/decisions/job_limits.py
+++ b/knapweedshed/decisions/job_limits.py
@@ -8,6 +8,7 @@
 
 MAX_TASKS_COUNT = 100_000  # of all occurrences; a service runs some thousands at a time
 MAX_STEPS_COUNT = 1_000
+MAX_GANG_TASKS_COUNT = 4_000  # the launch of a gang is one record in the log
 MAX_DURATION_MS = 366 * 24 * 3_600 * MS_PER_SECOND
 MAX_WALL_MS = 1 << 48  # thousands of years from 1970
 MAX_RESOURCE = 1 << 40  # thousandths of a core, MB or accelerators of one task
@@ -36,6 +37,8 @@
 def _find_step_fault(step, number):
     if not 0 < step.count <= MAX_TASKS_COUNT:
         return f"count must be from 1 to {MAX_TASKS_COUNT}"
+    if step.gang and step.count > MAX_GANG_TASKS_COUNT:
+        return f"a gang has at most {MAX_GANG_TASKS_COUNT} tasks, not {step.count}"
     if not all(0 <= earlier < number for earlier in step.after):
         return "a step depends on earlier steps only"
     if not 0 <= step.estimate_ms <= MAX_DURATION_MS:
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -1,5 +1,6 @@
 """Actors for the platform's log: one appends, and one tails each stream."""
 
+import collections
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -13,7 +14,7 @@
     RecordsRead,
     SetReadPause,
 )
-from knapweedshed.models.outcomes import FAILURE_TYPES, LogRecord, NoAnswer
+from knapweedshed.models.outcomes import FAILURE_TYPES, LogRecord, NoAnswer, Rejected
 
 MAX_PAGE_RECORDS = 500
 MAX_READ_WAIT_MS = 5_000
@@ -22,6 +23,7 @@
 FIRST_RETRY_DELAY_MS = 50
 MAX_BATCH_RECORDS = 200
 MAX_BATCH_BYTES = 4_000_000
+RECORD_OVERHEAD_BYTES = 64  # a length and the id of the record
 
 
 class _Flush(NamedTuple):
@@ -39,15 +41,19 @@
 
 
 class LogAppender(Actor):
-    """Appends records in batches.
+    """Appends records in batches of at most `max_batch_bytes`.
 
-    Records that arrive during an append go into the next batch.
+    Records that arrive during an append go into the next batch. The records of a batch
+    that the log rejects are appended one by one, so that one of them doesn't keep the
+    others out.
     """
 
-    def __init__(self, context, log):
+    def __init__(self, context, log, max_batch_bytes=MAX_BATCH_BYTES):
         super().__init__(context)
         self._log = log
+        self._max_batch_bytes = max_batch_bytes
         self._pending = []
+        self._separate = collections.deque()
         self._in_flight = ()
         self._flush_scheduled = False
 
@@ -76,10 +82,13 @@
         records = [LogRecord(item.record_id, item.body) for item in batch]
         result = self._log.append(batch[0].stream, records)
         self._context.metrics.count("log.appends")
-        for index, item in enumerate(batch):
-            tell(item.receiver, self._outcome(item, index, result))
+        if isinstance(result, Rejected) and len(batch) > 1:
+            self._separate.extend(batch)
+        else:
+            for index, item in enumerate(batch):
+                tell(item.receiver, self._outcome(item, index, result))
         self._in_flight = ()
-        if self._pending:
+        if self._pending or self._separate:
             self._schedule_flush()
 
     def recover(self, message):
@@ -88,7 +97,7 @@
         for item in batch:
             failure = NoAnswer("the append raised an error")
             tell(item.receiver, self._outcome(item, 0, failure))
-        if self._pending:
+        if self._pending or self._separate:
             self._schedule_flush()
 
     def _schedule_flush(self):
@@ -97,15 +106,18 @@
             self.actor_ref.tell(_Flush())
 
     def _next_batch(self):
+        if self._separate:
+            return [self._separate.popleft()]
         batch = []
         deferred = []
         size = 0
         for item in self._pending:
             same_stream = not batch or item.stream == batch[0].stream
-            fits = not batch or size + len(item.body) <= MAX_BATCH_BYTES
+            item_bytes = RECORD_OVERHEAD_BYTES + len(item.body)
+            fits = not batch or size + item_bytes <= self._max_batch_bytes
             if not deferred and same_stream and fits and len(batch) < MAX_BATCH_RECORDS:
                 batch.append(item)
-                size += len(item.body)
+                size += item_bytes
             else:
                 deferred.append(item)
         self._pending = deferred
@@ -115,7 +127,8 @@
         if isinstance(result, FAILURE_TYPES):
             unknown = isinstance(result, NoAnswer)
             self._context.metrics.count("log.append_failures")
-            return AppendFailed(item.record_id, unknown, result.reason)
+            final = isinstance(result, Rejected)
+            return AppendFailed(item.record_id, unknown, result.reason, final)
         return AppendDone(item.record_id, result + index)
 
 
--- a/knapweedshed/models/outcomes.py
+++ b/knapweedshed/models/outcomes.py
@@ -1,4 +1,4 @@
-"""Results of requests to outside systems: answers, and three kinds of failure."""
+"""Results of requests to outside systems: answers, and kinds of failure."""
 
 from typing import NamedTuple
 
@@ -9,6 +9,12 @@
     reason: str
 
 
+class Rejected(NamedTuple):
+    """The other side will never accept the request, which had no effect."""
+
+    reason: str
+
+
 class NotSent(NamedTuple):
     """No byte of the request left this process."""
 
@@ -21,7 +27,7 @@
     reason: str
 
 
-FAILURE_TYPES = (Refused, NotSent, NoAnswer)
+FAILURE_TYPES = (Refused, Rejected, NotSent, NoAnswer)
 
 
 class LogRecord(NamedTuple):
--- a/knapweedshed/platform/settings.py
+++ b/knapweedshed/platform/settings.py
@@ -6,6 +6,11 @@
 from knapweedshed.settings import parse_address
 
 MS_PER_SECOND = 1_000
+LOG_LIMIT_SETTINGS = {
+    "record_bytes": "log_record_bytes",
+    "call_bytes": "log_append_bytes",
+}
+MIN_LOG_LIMIT_BYTES = 16_384  # a job with a description of 4,000 bytes, and its state
 
 
 def load_settings_file(path):
@@ -28,6 +33,10 @@
         limits["cores"] = cpu_share * _number(fields, "limits", "cores")
         if fields["limits"].get("link_mbps") is not None:
             limits["link_mbps"] = _number(fields, "limits", "link_mbps")
+    platform_fields = fields.get("platform") if isinstance(fields, dict) else None
+    for name, setting in LOG_LIMIT_SETTINGS.items():
+        if isinstance(platform_fields, dict) and platform_fields.get(name) is not None:
+            limits[setting] = _size_bytes(fields, "platform", name)
     settings = HostSettings(
         name=_text(fields, "node"),
         data_centre=_text(fields, "zone"),
@@ -62,6 +71,16 @@
     return value
 
 
+def _size_bytes(fields, *names):
+    value = int(_number(fields, *names))
+    if value < MIN_LOG_LIMIT_BYTES:
+        raise ValueError(
+            f"settings file: {'.'.join(names)}: expected {MIN_LOG_LIMIT_BYTES} or more,"
+            f" got {value}"
+        )
+    return value
+
+
 def _address(fields, *names):
     address = _text(fields, *names)
     try:
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -7,7 +7,13 @@
 from knapweedshed.links.blocking_connection import BlockingConnection
 from knapweedshed.links.http_messages import Response
 from knapweedshed.links.platform import LogService
-from knapweedshed.models.outcomes import LogPage, NoAnswer, Refused, StoredRecord
+from knapweedshed.models.outcomes import (
+    LogPage,
+    NoAnswer,
+    Refused,
+    Rejected,
+    StoredRecord,
+)
 
 # One-way latency is at most 1.4 ms; a lost SYN is retransmitted after 1 s.
 CONNECT_TIMEOUT_MS = 400
@@ -20,6 +26,7 @@
 ONLY_PARTITION = 0
 MAX_PAGE_KB = 512
 NO_EFFECT_STATUSES = (409, 412, 429, 503, 507)
+FINAL_STATUSES = (400, 403, 404, 413)
 HTTP_GONE = 410
 HTTP_OK = 200
 
@@ -147,11 +154,11 @@
         if accept_gone and response.status == HTTP_GONE:
             return response
         reason = f"HTTP status {response.status}"
-        return (
-            Refused(reason)
-            if response.status in NO_EFFECT_STATUSES
-            else NoAnswer(reason)
-        )
+        if response.status in NO_EFFECT_STATUSES:
+            return Refused(reason)
+        if response.status in FINAL_STATUSES:
+            return Rejected(reason)
+        return NoAnswer(reason)
 
 
 class StoreLog(LogService):
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -65,8 +65,12 @@
         self._settings = settings
         self._timer = Timer(context.clock)
         timer = self._timer
-        self._appender = LogAppender.start(context, platform.work_log())
-        self._jobs = JobsController.start(context, self._appender)
+        self._appender = LogAppender.start(
+            context, platform.work_log(), settings.log_append_bytes
+        )
+        self._jobs = JobsController.start(
+            context, self._appender, settings.log_record_bytes
+        )
         self._calls = CallsController.start(context, self._jobs)
         tell(self._jobs, UseCallsController(self._calls))
         self._scheduling = SchedulingController.start(
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -19,6 +19,8 @@
 DEFAULT_READ_KB = 1_024
 NEWEST_PAGE_ITEMS = 500
 LENGTH_BYTES = 4
+MAX_RECORD_BYTES = 262_144
+MAX_APPEND_BYTES = 2_097_152
 _SILENT_LOGGER = logging.getLogger("knapweedshed.silent")
 
 
@@ -89,8 +91,12 @@
 
     def _append(self, topic, body):
         records, position = [], 0
+        if len(body) > MAX_APPEND_BYTES:
+            return json_response(400, {"error": "too many bytes"})
         while position < len(body):
             (length,) = struct.unpack_from(">I", body, position)
+            if length > MAX_RECORD_BYTES:
+                return json_response(400, {"error": "a record is too large"})
             records.append(body[position + 4 : position + 4 + length])
             position += 4 + length
         first_offset, end = self._append_records(topic, records)
--- a/tests/test_jobs_controller.py
+++ b/tests/test_jobs_controller.py
@@ -39,7 +39,7 @@
         register_all()
         self.clock = ManualClock()
         context = create_test_context(clock=self.clock)
-        self.jobs = JobsController(context, FakeActorRef())
+        self.jobs = JobsController(context, FakeActorRef(), 262_144)
         self.calls, self.tail = FakeActorRef(), FakeActorRef()
         self.jobs.receive(UseCallsController(self.calls))
         self.jobs.receive(UseLogTail(self.tail))
--- a/tests/test_log_reachability.py
+++ b/tests/test_log_reachability.py
@@ -115,7 +115,7 @@
         self.clock.advance(60_000)
         self.appender, self.calls = FakeActorRef(), FakeActorRef()
         context = create_test_context(clock=self.clock)
-        self.jobs = JobsController(context, self.appender)
+        self.jobs = JobsController(context, self.appender, 262_144)
         self.jobs.receive(UseCallsController(self.calls))
         self.jobs.receive(ServiceConfigurationUpdated(ServiceConfiguration()))
         self._read_log()
