Check a start again when it is sent, and send stops first

Cause: a worker's orders wait in a queue, an unanswered one holds up the others for 600 ms, and nothing looked at a start again before it was sent.

OrderChannel sends stops first, withdraws the start that a stop bars, and sends no start after its validity of 1.5 s. The dispatcher withdraws the waiting starts of a worker that drains, isn't listed any more or started anew, and starts no launch on such a worker however fresh it is. A start that wasn't sent is reported and decided again; a repeat that wasn't sent is stopped.

Same cause looked for: holds carry an absolute deadline, so a late one renews no more than was decided; an end of the term closes the channels; appends of an old epoch are void; a launch read back late was checked before this commit, but only after 1.2 s.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -55,6 +55,7 @@
     RecordLaunches,
     RecordTaskEnds,
     RunLost,
+    WithdrawStarts,
     WorkerHung,
 )
 from knapweedshed.models.outcomes import FAILURE_TYPES
@@ -76,6 +77,9 @@
 MIN_PLAN_DELAY_MS = 10  # runs that end together are planned for together
 # Times the last plan's duration; limits planning to a third of the processor time.
 PLAN_DELAY_RATIO = 2
+# An order without an answer holds up the next ones for 600 ms. A start that has waited
+# for longer than two of them is decided again.
+MAX_START_WAIT_MS = 1_500
 ORDER_NOT_SENT = OrderOutcome(ORDER_UNKNOWN, REASON_NOT_SENT)
 
 
@@ -450,8 +454,13 @@
                 self._decision_log.log_lost_run(action)
             elif isinstance(action, WorkerHung):
                 self._decision_log.log_worker_hang(action)
+            elif isinstance(action, WithdrawStarts):
+                self._worker_links.withdraw_starts(action.worker_id)
             elif self._election.may_send_orders(self._ledger, self._now_ms()):
-                self._worker_links.order(OrderRequest(action, self._ledger.epoch))
+                valid_until_ms = self._now_ms() + MAX_START_WAIT_MS
+                self._worker_links.order(
+                    OrderRequest(action, self._ledger.epoch, valid_until_ms)
+                )
             else:
                 unsent = OrderResponse(action, self._ledger.epoch, ORDER_NOT_SENT)
                 self._timer.after(LOG_RETRY_DELAY_MS, self.actor_ref, unsent)
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -96,10 +96,20 @@
 
 
 class OrderRequest(NamedTuple):
-    """Send an order to a worker under a fence."""
+    """Send an order to a worker under a fence.
+
+    A start that can't be sent by `valid_until_ms` on the monotonic clock is not sent.
+    """
 
     order: StartRun | StopRun
     fence: int
+    valid_until_ms: int
+
+
+class WithdrawWaitingStarts(NamedTuple):
+    """Send a worker no start that still waits; each is reported as not sent."""
+
+    worker_id: str
 
 
 class OrderResponse(NamedTuple):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -23,6 +23,7 @@
     AssignedRun,
     RunPhase,
     TrackedWorker,
+    WorkerLife,
     needs_recording,
 )
 from knapweedshed.decisions.unit_runs import UnitRun
@@ -31,6 +32,7 @@
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
     ORDER_UNKNOWN,
+    REASON_EXPIRED,
     REASON_LATE,
     REASON_NO_CAPACITY,
     REASON_NOT_SENT,
@@ -38,10 +40,12 @@
     REASON_STALE_RUN,
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
+    REASON_WITHDRAWN,
     RecordLaunches,
     RunLost,
     StartRun,
     StopRun,
+    WithdrawStarts,
 )
 from knapweedshed.models.work import EndKind, Resources, tasks_of_unit, unit_of_task
 from knapweedshed.models.work_records import Launched
@@ -66,6 +70,8 @@
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
     REASON_OTHER_INCARNATION,
+    REASON_EXPIRED,
+    REASON_WITHDRAWN,
 )
 LOST_RUN_KINDS = (EndKind.FAILED, EndKind.LAPSED)
 
@@ -132,14 +138,15 @@
                     entry.worker_id, entry.incarnation, now_ms, self._limits.lease_ms
                 )
                 self._workers[entry.worker_id] = worker
-            orders.extend(
-                self._handle_removed_runs(
-                    worker, worker.update_entry(entry, now_ms), now_ms
-                )
-            )
+            life_before = worker.life
+            removed_runs = worker.update_entry(entry, now_ms)
+            orders.extend(_withdraw_starts(worker, life_before))
+            orders.extend(self._handle_removed_runs(worker, removed_runs, now_ms))
         for worker_id, worker in list(self._workers.items()):
             if worker_id not in listed:
+                life_before = worker.life
                 worker.entry = None
+                orders.extend(_withdraw_starts(worker, life_before))
                 if not worker.assigned_runs:
                     del self._workers[worker_id]
         return orders
@@ -152,12 +159,13 @@
         accepted_work = worker.accepts_work(now_ms)
         if self._silence_observer.note_answer(worker.entry):
             self._capacity_changed = True
+        life_before = worker.life
         removed_runs, ends, unassigned = worker.apply_hold_answer(
             answer, sent_ms, now_ms
         )
         if removed_runs or ends or not accepted_work:
             self._capacity_changed = True
-        orders = []
+        orders = _withdraw_starts(worker, life_before)
         self._speed_observer.observe_worker(worker, removed_runs, now_ms)
         self._handle_ends(worker, ends, now_ms)
         orders.extend(self._stop_repeated_runs(ends, now_ms))
@@ -246,7 +254,7 @@
             unit_run = self._unit_runs.get(launched.unit)
             if unit_run is None or unit_run.run != launched.run or unit_run.launched:
                 continue
-            is_outdated = self._is_outdated(unit_run, now_ms)
+            is_outdated = self._is_outdated(unit_run, launched, now_ms)
             self._unit_runs[launched.unit] = unit_run._replace(
                 launched=True, started_ms=now_ms
             )
@@ -486,11 +494,14 @@
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
 
-    def _is_outdated(self, unit_run, now_ms):
-        """Return whether a late launch is on workers that may not take it any more."""
+    def _is_outdated(self, unit_run, launched, now_ms):
+        """Return whether a launch is on workers that may not take it any more."""
+        workers = [self._workers[worker_id] for worker_id, _ in launched.workers]
+        for worker, (_, incarnation) in zip(workers, launched.workers, strict=True):
+            if worker.life != WorkerLife(incarnation, leaving=False):
+                return True
         if now_ms - unit_run.started_ms <= MAX_LAUNCH_AGE_MS:
             return False
-        workers = [self._workers[name] for name in unit_run.workers_by_task.values()]
         accepted = all(worker.accepts_work(now_ms) for worker in workers)
         return not (accepted and self._is_list_recent(now_ms))
 
@@ -628,6 +639,16 @@
         return StopRun(worker.worker_id, listed.task, listed.run)
 
 
+def _withdraw_starts(worker, life_before):
+    """Return [`WithdrawStarts`] if a worker began to leave or started anew, or []."""
+    life = worker.life
+    if life.incarnation == life_before.incarnation and (
+        life_before.leaving or not life.leaving
+    ):
+        return []
+    return [WithdrawStarts(worker.worker_id)]
+
+
 def _shows_silence(outcome):
     """Return whether an order was sent and got no answer, or found no connection."""
     if outcome.kind == ORDER_UNKNOWN:
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -72,6 +72,16 @@
     saved: str = ""
 
 
+class WorkerLife(NamedTuple):
+    """What a decision to start work on a worker rests on, beside its capacity.
+
+    A worker is leaving if it is draining or not listed any more.
+    """
+
+    incarnation: int
+    leaving: bool
+
+
 class TrackedWorker:
     """The scheduler's view of one worker, by worker id, across its restarts.
 
@@ -99,6 +109,12 @@
         self._worker_clock_read_ms = 0
         self._lease_end_clock_ms = 0
 
+    @property
+    def life(self):
+        """Return the worker's present `WorkerLife`."""
+        leaving = self.entry is None or self.entry.draining
+        return WorkerLife(self.incarnation, leaving)
+
     @property
     def last_acknowledgeable_end(self):
         """Return the number up to which all ends are recorded or need no record."""
--- a/knapweedshed/links/worker_connections.py
+++ b/knapweedshed/links/worker_connections.py
@@ -17,10 +17,18 @@
     OpenWorker,
     OrderRequest,
     OrderResponse,
+    WithdrawWaitingStarts,
 )
 from knapweedshed.links.http_connection import HttpConnection
 from knapweedshed.links.http_messages import encode_request
 from knapweedshed.links.selector_inbox import SelectorInbox, SocketReady
+from knapweedshed.models.dispatch_actions import (
+    ORDER_REFUSED,
+    REASON_EXPIRED,
+    REASON_WITHDRAWN,
+    OrderOutcome,
+    StopRun,
+)
 
 CONNECT_TIMEOUT_MS = 500
 # An order takes a few ms. Gang members wait 3 s for each other, and the three attempts
@@ -81,6 +89,13 @@
         """Send an order to its worker."""
         self._send(message.order.worker_id, OrderChannel, message)
 
+    @receive.register
+    def withdraw_starts(self, message: WithdrawWaitingStarts):
+        """Drop the starts that wait for earlier orders to a worker."""
+        channels = self._channels.get(message.worker_id)
+        if channels is not None:
+            channels[OrderChannel].withdraw_starts()
+
     @receive.register
     def expire(self, message: ExchangeTimeout):
         """End an exchange that took too long."""
@@ -114,7 +129,7 @@
 
 
 class WorkerChannel(ABC):
-    """One connection to a worker; requests are sent one at a time, in order."""
+    """One connection to a worker; requests are sent one at a time."""
 
     def __init__(self, context, inbox, codec, entry, receiver):
         self._context = context
@@ -123,22 +138,20 @@
         self._entry = entry
         self._receiver = receiver
         self._connection = HttpConnection(inbox, entry.address, self)
-        self._waiting = deque()
         self._current = None
         self._exchange_number = 0
         self._sent_ms = 0
         self._closed = False
 
     def send(self, request):
-        """Send a request now, or after those that were given before."""
-        self._waiting.append(request)
+        """Send a request now, or once the one in progress is over."""
+        self._add_waiting(request)
         if self._current is None:
             self._send_next()
 
     def close(self):
         """Close the connection and drop all requests."""
         self._closed = True
-        self._waiting.clear()
         self._current = None
         self._connection.close()
 
@@ -161,8 +174,10 @@
 
     def _send_next(self):
         """Send waiting requests until one is in progress."""
-        while self._waiting and self._current is None:
-            self._current = self._waiting.popleft()
+        while not self._closed and self._current is None:
+            self._current = self._take_waiting()
+            if self._current is None:
+                return
             self._exchange_number += 1
             self._sent_ms = self._context.clock.now_ms()
             call = self._encode(self._current)
@@ -195,6 +210,14 @@
         timeout = ExchangeTimeout(self, self._exchange_number, while_connecting)
         self._inbox.send_at(self._context.clock.now_ms() + timeout_ms, timeout)
 
+    @abstractmethod
+    def _add_waiting(self, request):
+        """Add a request to those that wait to be sent."""
+
+    @abstractmethod
+    def _take_waiting(self):
+        """Return the request to send next, and forget it; None if there is none."""
+
     @abstractmethod
     def _encode(self, request):
         """Return the `WorkerCall` of a request."""
@@ -211,6 +234,16 @@
 class HoldChannel(WorkerChannel):
     """Sends holds, which renew the worker's leases and wait for runs to end."""
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._waiting = deque()
+
+    def _add_waiting(self, request):
+        self._waiting.append(request)
+
+    def _take_waiting(self):
+        return self._waiting.popleft() if self._waiting else None
+
     def _encode(self, request):
         return self._codec.encode_hold(self._entry, request)
 
@@ -223,7 +256,48 @@
 
 
 class OrderChannel(WorkerChannel):
-    """Sends orders."""
+    """Sends orders: stops first, and starts only while they are valid.
+
+    A stop withdraws the start of its run if that still waits. Starts that are not sent
+    are reported.
+    """
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self._stops = deque()
+        self._starts = {}
+
+    def withdraw_starts(self):
+        """Drop all starts that wait."""
+        starts, self._starts = self._starts, {}
+        for request in starts.values():
+            self._report_not_sent(request, REASON_WITHDRAWN)
+
+    def _add_waiting(self, request):
+        key = (request.order.task, request.order.run)
+        if not isinstance(request.order, StopRun):
+            self._starts[key] = request
+            return
+        self._stops.append(request)
+        barred = self._starts.pop(key, None)
+        if barred is not None:
+            self._report_not_sent(barred, REASON_WITHDRAWN)
+
+    def _take_waiting(self):
+        if self._stops:
+            return self._stops.popleft()
+        now_ms = self._context.clock.now_ms()
+        while self._starts:
+            request = self._starts.pop(next(iter(self._starts)))
+            if now_ms <= request.valid_until_ms:
+                return request
+            self._report_not_sent(request, REASON_EXPIRED)
+        return None
+
+    def _report_not_sent(self, request, reason):
+        if not self._closed:
+            outcome = OrderOutcome(ORDER_REFUSED, reason)
+            tell(self._receiver, OrderResponse(request.order, request.fence, outcome))
 
     def _encode(self, request):
         return self._codec.encode_order(self._entry, request.order, request.fence)
--- a/knapweedshed/links/worker_links.py
+++ b/knapweedshed/links/worker_links.py
@@ -1,7 +1,12 @@
 """The acting scheduler's handle on the connections to all workers."""
 
 from knapweedshed.actors import tell
-from knapweedshed.controllers.work_messages import CloseWorker, HoldRequest, OpenWorker
+from knapweedshed.controllers.work_messages import (
+    CloseWorker,
+    HoldRequest,
+    OpenWorker,
+    WithdrawWaitingStarts,
+)
 from knapweedshed.links.worker_connections import WorkerConnections
 
 MIN_HOLD_WAIT_MS = 1_000  # leases last some seconds and must be renewed several times
@@ -82,6 +87,10 @@
         """Send an order to its worker."""
         tell(self._connections, message)
 
+    def withdraw_starts(self, worker_id):
+        """Send a worker no start that still waits."""
+        tell(self._connections, WithdrawWaitingStarts(worker_id))
+
 
 def hold_wait_ms(worker_count):
     """Return how long a worker may wait for an end, longer with many workers."""
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -28,6 +28,12 @@
     run: int
 
 
+class WithdrawStarts(NamedTuple):
+    """Send no start to a worker that was decided before and still waits to be sent."""
+
+    worker_id: str
+
+
 class RecordTaskEnds(NamedTuple):
     """Write ends to the log; workers are asked to discard them only after that."""
 
@@ -92,3 +98,5 @@
 REASON_OTHER_INCARNATION = "other incarnation"
 REASON_UNREACHABLE = "unreachable"
 REASON_NOT_SENT = "not sent: no recent answer from the log"
+REASON_EXPIRED = "not sent: waited too long for earlier orders"
+REASON_WITHDRAWN = "not sent: withdrawn"
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -12,6 +12,7 @@
     RecordTaskEnds,
     RunLost,
     StartRun,
+    WithdrawStarts,
     WorkerHung,
 )
 from knapweedshed.models.service_configuration import (
@@ -206,7 +207,7 @@
                 self.apply_actions(
                     self.dispatcher.handle_changed_jobs(changed, self.now_ms)
                 )
-            elif isinstance(action, (Preempted, RunLost, WorkerHung)):
+            elif isinstance(action, (Preempted, RunLost, WorkerHung, WithdrawStarts)):
                 self.records.append(action)
             else:
                 self._send_order(action)
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -149,7 +149,7 @@
         server = ScriptedServer([None, response(b"{}")])
         workers = self._connect([server])
         for run in (1, 2):
-            tell(workers.connections, OrderRequest(StopRun("i-0", TASK, run), 1))
+            tell(workers.connections, OrderRequest(StopRun("i-0", TASK, run), 1, 0))
         outcomes = [workers.next_outcome() for _ in range(2)]
         found = [(item.order.run, item.outcome.kind) for item in outcomes]
         self.assertEqual(found, [(1, ORDER_UNKNOWN), (2, ORDER_DONE)])
--- a/tests/worker_harness.py
+++ b/tests/worker_harness.py
@@ -12,6 +12,7 @@
 from knapweedshed.links.worker_connections import WorkerConnections
 
 OUTCOME_TIMEOUT_S = 10
+FAR_FUTURE_MS = 1 << 60
 
 
 def received_messages():
@@ -71,5 +72,5 @@
 
     def order(self, order, fence):
         """Send an order; return its outcome."""
-        tell(self.connections, OrderRequest(order, fence))
+        tell(self.connections, OrderRequest(order, fence, FAR_FUTURE_MS))
         return self.next_outcome().outcome
