Record every cancel before it is acknowledged

Cause: a host that did not know the job answered 410, which acknowledges the cancel, and recorded nothing. Another host had accepted the job since the last read, or the acceptance was on its way.

A cancel is appended whether or not the job is known; the cancel of an unknown job is answered after its read-back, by the order of the log, and bars a later acceptance. Only a page that reaches the end of the log makes the copy fresh. Ends that stand in the log before a record of the open job are recorded again. "call" lines carry the offset and age that a reply rests on.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -37,7 +37,7 @@
 from knapweedshed.decisions.record_parts import max_job_record_bytes
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.filters.work_calls import refused_reply
-from knapweedshed.models.calls import CallKind, WorkReply
+from knapweedshed.models.calls import CallKind, LogState, WorkReply
 from knapweedshed.models.work import WorkJob
 from knapweedshed.models.work_records import WORK_STREAM, WorkAccepted, WorkCancelled
 from knapweedshed.results import ResultCode
@@ -53,7 +53,9 @@
 class PendingAppend(NamedTuple):
     """An append that is not acknowledged yet, and the calls that wait for it.
 
-    `retry_at_ms` is when to append again; 0 while an append is in flight.
+    `retry_at_ms` is when to append again; 0 while an append is in flight. The cancel of
+    a job that isn't known here `needs_read`: only the log's order tells whether there
+    is such a job.
     """
 
     append_request: AppendRecord
@@ -61,6 +63,7 @@
     state: AppendState
     call_ids: tuple[str, ...]
     retry_at_ms: int = 0
+    needs_read: bool = False
 
 
 class DeferredCall(NamedTuple):
@@ -83,6 +86,7 @@
         self._submit_record_ids = {}
         self._caught_up = False
         self._last_read_ms = -LOG_FRESHNESS_MS
+        self._last_offset = -1
         self._log_reachability = LogReachability()
         self._unknown_outcomes = UnknownOutcomes()
         self._configured = False
@@ -103,16 +107,20 @@
     @receive.register
     def apply_records(self, message: RecordsRead):
         """Apply a page of records, and answer the calls whose records are in it."""
-        self._last_read_ms = self._context.clock.now_ms()
-        self._log_reachability.note_read(self._last_read_ms)
-        self._next_read_ms = self._last_read_ms + message.pause_ms
+        now_ms = self._context.clock.now_ms()
+        self._log_reachability.note_read(now_ms)
+        self._next_read_ms = now_ms + message.pause_ms
         for offset, record_id, record in decode_records(self._context, message):
             self._ledger.apply(offset, record)
+            self._last_offset = offset
             pending = self._pending_appends.get(record_id)
             if pending is not None:
-                self._finish_append(pending, WorkReply())
+                self._finish_append(pending, self._read_back_reply(pending))
+        if not message.caught_up:
+            return
+        self._last_read_ms = now_ms
         self._serve_deferred_calls(message.requested_ms)
-        if message.caught_up and not self._caught_up:
+        if not self._caught_up:
             self._caught_up = True
             self._context.logger.info(
                 "work stream read", extra={"jobs": len(self._ledger.jobs)}
@@ -155,8 +163,12 @@
         now_ms = self._context.clock.now_ms()
         self._log_reachability.note_append_done(message.record_id, now_ms)
         pending = self._pending_appends.get(message.record_id)
-        if pending is not None:
-            self._finish_append(pending, WorkReply())
+        if pending is None:
+            return
+        if pending.needs_read:
+            tell(self._log_tail, ReadNow())
+            return
+        self._finish_append(pending, WorkReply())
 
     @receive.register
     def handle_append_failure(self, message: AppendFailed):
@@ -233,7 +245,7 @@
 
     def _depends_on_log(self, call):
         """Return whether records that aren't read yet may change the answer."""
-        if call.kind not in (CallKind.STATE, CallKind.CANCEL):
+        if call.kind != CallKind.STATE:
             return False
         progress = self._ledger.jobs.get(call.job_id)
         return progress is None or progress.active
@@ -270,10 +282,13 @@
         self._submit_record_ids[call.job_id] = self._append_record(call, text)
 
     def _cancel_job(self, call):
-        if call.job_id not in self._ledger.jobs:
-            self._report_state(call)
-            return
-        if not self._ledger.jobs[call.job_id].active:
+        """Append a cancel, also of a job that isn't known here.
+
+        The job may have been accepted by another host since the last read, or its
+        acceptance may be on its way.
+        """
+        progress = self._ledger.jobs.get(call.job_id)
+        if progress is not None and not progress.active:
             self._send_answer(call, WorkReply())
             return
         if self._is_log_silent():
@@ -281,16 +296,21 @@
                 call, self._log_unavailable_reply("the log does not answer")
             )
             return
-        self._append_record(call, json_text.dumps(WorkCancelled(call.job_id)))
+        text = json_text.dumps(WorkCancelled(call.job_id))
+        self._append_record(call, text, needs_read=progress is None)
+
+    def _read_back_reply(self, pending):
+        """Return the reply to an append that was read back."""
+        if pending.needs_read and pending.job_id not in self._ledger.jobs:
+            return _not_found_reply()
+        return WorkReply()
 
     def _report_state(self, call):
         progress = self._ledger.jobs.get(call.job_id)
         if progress is not None:
             self._send_answer(call, WorkReply(state=progress.state))
         elif self._is_log_fresh():
-            self._send_answer(
-                call, refused_reply(ResultCode.NOT_FOUND, "no job has this id")
-            )
+            self._send_answer(call, _not_found_reply())
         else:
             reason = "the log can't be read here now"
             self._send_answer(
@@ -311,7 +331,7 @@
         waiting = self._ledger.pending_count(call.queue.name)
         self._send_answer(call, WorkReply(waiting=waiting))
 
-    def _append_record(self, call, text):
+    def _append_record(self, call, text, needs_read=False):
         record_id = self._context.new_id()
         append_request = AppendRecord(WORK_STREAM, record_id, text, self.actor_ref)
         maybe_written = self._unknown_outcomes.holds(
@@ -319,7 +339,11 @@
         )
         state = AppendState(self._append_deadline_ms(call), maybe_written)
         self._pending_appends[record_id] = PendingAppend(
-            append_request, call.job_id, state, (call.call_id,)
+            append_request,
+            call.job_id,
+            state,
+            (call.call_id,),
+            needs_read=needs_read,
         )
         self._send_append(append_request)
         return record_id
@@ -355,10 +379,15 @@
         if self._submit_record_ids.get(pending.job_id) == record_id:
             del self._submit_record_ids[pending.job_id]
         for call_id in pending.call_ids:
-            tell(self._calls, CallAnswered(call_id, reply))
+            self._send_reply(call_id, reply)
 
     def _send_answer(self, call, reply):
-        tell(self._calls, CallAnswered(call.call_id, reply))
+        self._send_reply(call.call_id, reply)
+
+    def _send_reply(self, call_id, reply):
+        age_ms = self._context.clock.now_ms() - self._last_read_ms
+        state = LogState(self._last_offset, age_ms if self._caught_up else -1)
+        tell(self._calls, CallAnswered(call_id, reply._replace(log_state=state)))
 
     def _is_log_fresh(self):
         age_ms = self._context.clock.now_ms() - self._last_read_ms
@@ -385,6 +414,10 @@
         return self._log_reachability.is_silent(self._context.clock.now_ms())
 
 
+def _not_found_reply():
+    return refused_reply(ResultCode.NOT_FOUND, "no job has this id")
+
+
 def _create_job(call, wall_ms):
     draft, queue = call.draft, call.queue
     return WorkJob(
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -60,6 +60,7 @@
 )
 from knapweedshed.models.outcomes import FAILURE_TYPES
 from knapweedshed.models.service_configuration import ServiceConfiguration
+from knapweedshed.models.work import WorkState
 from knapweedshed.models.work_records import (
     WORK_STREAM,
     ActingBeat,
@@ -68,6 +69,9 @@
     RunsLaunched,
     SpeedsLearned,
     TasksEnded,
+    WorkAccepted,
+    WorkCancelled,
+    WorkSnapshot,
 )
 
 LOG_RETRY_DELAY_MS = 300  # after a failed append; no launches meanwhile
@@ -114,6 +118,7 @@
         self._launches_paused_until_ms = 0
         self._resign_reply = None
         self._term_epoch = 0
+        self._ends_recorded_again = set()
         self._snapshot_schedule = SnapshotSchedule(settings.log_keep_ms)
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
@@ -152,8 +157,11 @@
             )
         changed = []
         own_records = []
+        described_jobs = []
         for offset, record_id, record in decode_records(self._context, message):
             changed.extend(self._apply_record(offset, record))
+            if isinstance(record, (WorkAccepted, WorkSnapshot)):
+                described_jobs.append(record.job.job_id)
             if self._pending_appends.pop(record_id, None) is not None:
                 own_records.append(record)
         self._update_role()
@@ -163,6 +171,7 @@
             self._handle_own_record(record)
         self._execute_actions(self._dispatcher.handle_changed_jobs(changed, now_ms))
         self._decision_log.log_ended_jobs(self._ledger, changed)
+        self._record_ends_again(described_jobs)
         self._schedule_planning()
 
     @receive.register
@@ -356,6 +365,7 @@
 
     def _begin_term(self):
         self._term_epoch = self._ledger.epoch
+        self._ends_recorded_again = set()
         self._dispatcher = Dispatcher(
             self._ledger, self._time_limits, create_ordering_policy(), self._now_ms()
         )
@@ -465,6 +475,24 @@
                 unsent = OrderResponse(action, self._ledger.epoch, ORDER_NOT_SENT)
                 self._timer.after(LOG_RETRY_DELAY_MS, self.actor_ref, unsent)
 
+    def _record_ends_again(self, job_ids):
+        """Record the ends of jobs again that stand in the log before their jobs.
+
+        A snapshot may be written just before its job's end is read, and a cancel may
+        come before its acceptance. A reader for whom the log begins between the two
+        would take the job for open.
+        """
+        for job_id in set(job_ids) - self._ends_recorded_again:
+            progress = self._ledger.jobs.get(job_id)
+            if progress is None or progress.active:
+                continue
+            self._ends_recorded_again.add(job_id)
+            if progress.state == WorkState.CANCELLED:
+                self._append_record(WorkCancelled(job_id))
+            else:
+                wall_ms = self._context.clock.wall_ms()
+                self._append_record(progress.snapshot(self._ledger.epoch, wall_ms))
+
     def _write_snapshots(self):
         epoch = self._ledger.epoch
         wall_ms = self._context.clock.wall_ms()
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -24,6 +24,7 @@
 )
 
 MAX_ENDED_JOBS = 5_000  # more than users complete in a day; bounds memory
+MAX_EARLY_CANCELS_COUNT = 5_000  # ids of jobs that were cancelled and never accepted
 ACTIVE_STATES = (WorkState.PENDING, WorkState.RUNNING)
 
 
@@ -151,13 +152,15 @@
 class WorkLedger:
     """Jobs and the acting scheduler, after applying the records of the log in order.
 
-    Ends, launches, speeds and snapshots of a replaced epoch change nothing.
+    Ends, launches, speeds and snapshots of a replaced epoch change nothing. A job whose
+    cancel is in the log before its acceptance is cancelled from the start.
     """
 
     def __init__(self):
         self._jobs = {}
         self._open_jobs = {}
         self._ended_job_ids = {}
+        self._early_cancels = {}
         self._epoch = 0
         self._acting_host = ""
         self._claimed_offset = -1
@@ -259,7 +262,7 @@
         job_id = snapshot.job.job_id
         progress = self._jobs.get(job_id)
         if progress is None:
-            progress = self._jobs[job_id] = JobProgress(snapshot.job, offset)
+            progress = self._add_job(snapshot.job, offset)
         progress.merge_snapshot(snapshot)
         return (job_id,)
 
@@ -275,12 +278,23 @@
     def _apply_acceptance(self, offset, job):
         if job.job_id in self._jobs:
             return ()
-        self._jobs[job.job_id] = JobProgress(job, offset)
+        self._add_job(job, offset)
         return (job.job_id,)
 
+    def _add_job(self, job, offset):
+        progress = self._jobs[job.job_id] = JobProgress(job, offset)
+        if self._early_cancels.pop(job.job_id, False):
+            progress.state = WorkState.CANCELLED
+        return progress
+
     def _apply_cancellation(self, job_id):
         progress = self._jobs.get(job_id)
-        if progress is None or not progress.active:
+        if progress is None:
+            self._early_cancels[job_id] = True
+            while len(self._early_cancels) > MAX_EARLY_CANCELS_COUNT:
+                del self._early_cancels[next(iter(self._early_cancels))]
+            return ()
+        if not progress.active:
             return ()
         progress.state = WorkState.CANCELLED
         return (job_id,)
--- a/knapweedshed/filters/work_calls.py
+++ b/knapweedshed/filters/work_calls.py
@@ -100,14 +100,15 @@
         self._metrics.count(f"calls.{request.kind}.{int(reply.result.code)}")
         self._metrics.timing(f"calls.{request.kind}", took_ms)
         if request.kind in (CallKind.SUBMIT, CallKind.CANCEL):
-            self._logger.info(
-                "call",
-                extra={
-                    "job": request.job_id or request.path,
-                    "kind": str(request.kind),
-                    "code": int(reply.result.code),
-                    "reason": reply.result.reason,
-                    "took_ms": took_ms,
-                },
-            )
+            fields = {
+                "job": request.job_id or request.path,
+                "kind": str(request.kind),
+                "code": int(reply.result.code),
+                "reason": reply.result.reason,
+                "took_ms": took_ms,
+            }
+            if reply.log_state is not None:
+                fields["log_offset"] = reply.log_state.offset
+                fields["log_age_ms"] = reply.log_state.age_ms
+            self._logger.info("call", extra=fields)
         return reply
--- a/knapweedshed/models/calls.py
+++ b/knapweedshed/models/calls.py
@@ -52,10 +52,25 @@
     job_id: str = ""
 
 
+class LogState(NamedTuple):
+    """How far a host had read the log when it answered a call.
+
+    `offset` is that of the last record it has read. `age_ms` is the time since it had
+    last read the log to its end, or -1 if it never has.
+    """
+
+    offset: int
+    age_ms: int
+
+
 class WorkReply(NamedTuple):
-    """The reply to a call; `waiting` is a job count, or -1 if not asked for."""
+    """The reply to a call; `waiting` is a job count, or -1 if not asked for.
+
+    `log_state` is what the reply rests on, if it rests on the log.
+    """
 
     result: Result = OK
     state: WorkState | None = None
     waiting: int = -1
     retry_after_ms: int = 0
+    log_state: LogState | None = None
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -14,7 +14,7 @@
 
 
 class WorkCancelled(NamedTuple):
-    """A caller has requested cancellation of a job."""
+    """A caller has requested cancellation of a job, which may not be accepted yet."""
 
     job_id: str
 
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import logging
+import random
 import struct
 import threading
 import time
@@ -43,7 +44,7 @@
 
     The next `append_responses_to_drop` appends are stored, but answered with status
     502, as if the response was lost. While `down` is set, every call fails with status
-    503.
+    503. Answers come up to `max_answer_delay_s` late.
     """
 
     def __init__(self, port):
@@ -52,6 +53,7 @@
         self.first_offsets = {}
         self.append_responses_to_drop = 0
         self.down = False
+        self.max_answer_delay_s = 0.0
         self._changed = threading.Condition()
         self._server = start_server(self._handle, port)
 
@@ -80,6 +82,7 @@
     def _handle(self, call):
         if self.down:
             return json_response(503, {"error": "down"})
+        time.sleep(random.uniform(0, self.max_answer_delay_s))
         topic = call.query.get("topic", "")
         if call.path == "/v1/log-append":
             return self._append(topic, call.body)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -39,6 +39,8 @@
 STOP_TIMEOUT_S = 10
 IMPORT_TIME_S = 5  # a signal that arrives earlier may end the interpreter itself
 NOT_ACCEPTED = (429, 503)
+ACKNOWLEDGED_CANCEL = (200, 410)
+_HTTP = urllib3.PoolManager(maxsize=64)  # callers at one host at the same time
 
 
 class SoakReport(NamedTuple):
@@ -351,7 +353,7 @@
         while time.monotonic() < deadline_s:
             host = rng.choice(self._hosts)
             body = {"spec": job_id, "steps": wire_steps}
-            status, _ = _call(host, "POST", job_id, body, deadline_s)
+            status, _ = call_host(host, "POST", job_id, body, deadline_s)
             codes.append(status)
             if status not in (0, 502, 503, 504):
                 break
@@ -370,8 +372,10 @@
         job_id = rng.choice(accepted)
         self._cancelled.add(job_id)
         deadline_s = time.monotonic() + REQUEST_TIME_S
-        status, _ = _call(rng.choice(self._hosts), "DELETE", job_id, None, deadline_s)
-        if status == 200:
+        status, _ = call_host(
+            rng.choice(self._hosts), "DELETE", job_id, None, deadline_s
+        )
+        if status in ACKNOWLEDGED_CANCEL:
             self._workers.cancelled_ms[job_id] = now_ms()
 
     def _try_revoked_key(self, rng):
@@ -381,7 +385,7 @@
         if now_ms() - revoked_ms < 3 * CONFIG_MS or not self._is_calm():
             return
         deadline_s = time.monotonic() + 1
-        status, _ = _call(host, "GET", f"{0:016x}", None, deadline_s, key)
+        status, _ = call_host(host, "GET", f"{0:016x}", None, deadline_s, key)
         if status not in (0, 401, 503) and self._is_calm():
             self._broken.append(f"KEY: {host.name} answers {status} to a revoked key")
 
@@ -390,7 +394,7 @@
         for host in self._hosts:
             for key in self._revoked:
                 deadline_s = time.monotonic() + REQUEST_TIME_S
-                status, _ = _call(host, "GET", f"{0:016x}", None, deadline_s, key)
+                status, _ = call_host(host, "GET", f"{0:016x}", None, deadline_s, key)
                 if status != 401:
                     self._broken.append(f"KEY: {host.name} answers {status} to {key}")
 
@@ -423,7 +427,7 @@
                 self._refused_late += job_id in self._workers.started_jobs
 
     def _has_ended(self, host, job_id, deadline_s):
-        status, body = _call(
+        status, body = call_host(
             host, "GET", job_id, None, min(deadline_s, time.monotonic() + 1)
         )
         if status != 200:
@@ -467,13 +471,13 @@
     return steps
 
 
-def _call(host, method, job_id, body, deadline_s, key="k1"):
+def call_host(host, method, job_id, body, deadline_s, key="k1"):
     """Send a request; return (status, body), with status 0 without an answer."""
     left_s = deadline_s - time.monotonic()
     if left_s <= 0:
         return 0, None
     try:
-        response = urllib3.request(
+        response = _HTTP.request(
             method,
             f"http://{host.front}/plans/{job_id}",
             body=None if body is None else json.dumps(body),
