Check every field of other writers' entries when it is decoded

platform/fields.py checks numbers, texts and addresses once, in the adapter, for entries, configurations and workers' lists. apply_records skips a record that can't be decoded or applied, alone. HostListing names the unreadable hosts beside the others. An odd entry is logged once until it changes. RecursionError and OverflowError count as decoding errors in both codecs; for CBOR no test shows that, as cbor2 itself limits nesting to 400.

--- a/knapweedshed/codecs/cbor.py
+++ b/knapweedshed/codecs/cbor.py
@@ -2,6 +2,7 @@
 
 import cbor2
 
+from knapweedshed.codecs.json_text import DECODE_ERRORS, MAX_REASON_LENGTH
 from knapweedshed.codecs.plain import from_plain, to_plain
 
 
@@ -18,5 +19,5 @@
     """Return the typed message in CBOR bytes; raises MessageError."""
     try:
         return from_plain(cbor2.loads(data))
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
-        raise MessageError(str(error)) from error
+    except (cbor2.CBORDecodeError, *DECODE_ERRORS) as error:
+        raise MessageError(str(error)[:MAX_REASON_LENGTH]) from error
--- a/knapweedshed/codecs/json_text.py
+++ b/knapweedshed/codecs/json_text.py
@@ -5,6 +5,7 @@
 
 from knapweedshed.codecs.plain import from_plain, to_plain
 
+MAX_REASON_LENGTH = 300
 _BYTES_KEY = "base64"
 
 
@@ -12,6 +13,19 @@
     """The text is not JSON, or not a known message."""
 
 
+# Raised by reading fields of a decoded body that is not in the documented format.
+DECODE_ERRORS = (
+    TextError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def dumps(value):
     """Return `value` as JSON; typed messages keep their class name."""
     return json.dumps(to_plain(value), default=_bytes_to_text, separators=(",", ":"))
@@ -21,8 +35,8 @@
     """Return the plain values of JSON text; raises TextError."""
     try:
         return json.loads(text, object_hook=_text_to_bytes)
-    except (ValueError, RecursionError) as error:
-        raise TextError(f"not JSON: {error}") from error
+    except DECODE_ERRORS as error:
+        raise TextError(f"not JSON: {error}"[:MAX_REASON_LENGTH]) from error
 
 
 def loads_message(text):
@@ -34,8 +48,8 @@
     """Return the typed message of plain JSON values; raises TextError."""
     try:
         return from_plain(plain)
-    except (ValueError, TypeError) as error:
-        raise TextError(f"not a known message: {error}") from error
+    except DECODE_ERRORS as error:
+        raise TextError(f"not a known message: {error}"[:MAX_REASON_LENGTH]) from error
 
 
 def decode_base64(value):
--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -23,7 +23,7 @@
     UseCallsController,
     UseLogTail,
 )
-from knapweedshed.controllers.work_stream import decode_records
+from knapweedshed.controllers.work_stream import apply_records
 from knapweedshed.decisions.acceptance import (
     APPEND_RETRY_DELAY_MS,
     RETRY_AFTER_INITIAL_MS,
@@ -110,12 +110,12 @@
         now_ms = self._context.clock.now_ms()
         self._log_reachability.note_read(now_ms)
         self._next_read_ms = now_ms + message.pause_ms
-        for offset, record_id, record in decode_records(self._context, message):
-            self._ledger.apply(offset, record)
-            self._last_offset = offset
-            pending = self._pending_appends.get(record_id)
+        for applied in apply_records(self._context, self._ledger, message):
+            pending = self._pending_appends.get(applied.record_id)
             if pending is not None:
                 self._finish_append(pending, self._read_back_reply(pending))
+        if message.records:
+            self._last_offset = message.records[-1].offset
         if not message.caught_up:
             return
         self._last_read_ms = now_ms
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -32,7 +32,7 @@
     UseWorkerFeed,
     WorkersListed,
 )
-from knapweedshed.controllers.work_stream import decode_records, encode_in_parts
+from knapweedshed.controllers.work_stream import apply_records, encode_in_parts
 from knapweedshed.decisions.dispatch import Dispatcher
 from knapweedshed.decisions.leadership import (
     HEARTBEAT_PERIOD_MS,
@@ -158,12 +158,15 @@
         changed = []
         own_records = []
         described_jobs = []
-        for offset, record_id, record in decode_records(self._context, message):
-            changed.extend(self._apply_record(offset, record))
-            if isinstance(record, (WorkAccepted, WorkSnapshot)):
-                described_jobs.append(record.job.job_id)
-            if self._pending_appends.pop(record_id, None) is not None:
-                own_records.append(record)
+        epoch = self._ledger.epoch
+        for applied in apply_records(self._context, self._ledger, message):
+            changed.extend(applied.changed_job_ids)
+            self._note_epoch(applied.record, epoch)
+            epoch = self._ledger.epoch
+            if isinstance(applied.record, (WorkAccepted, WorkSnapshot)):
+                described_jobs.append(applied.record.job.job_id)
+            if self._pending_appends.pop(applied.record_id, None) is not None:
+                own_records.append(applied.record)
         self._update_role()
         if self._dispatcher is None:
             return
@@ -330,17 +333,15 @@
             "workers": workers,
         }
 
-    def _apply_record(self, offset, record):
-        epoch = self._ledger.epoch
-        changed = self._ledger.apply(offset, record)
+    def _note_epoch(self, record, epoch_before):
+        """Note what a record that was applied says about the acting scheduler."""
         if getattr(record, "epoch", -1) == self._ledger.epoch:
             self._election.note_leader_heard(self._now_ms())
-        if self._ledger.epoch != epoch:
+        if self._ledger.epoch != epoch_before:
             self._context.logger.info(
                 "role claimed",
                 extra={"epoch": self._ledger.epoch, "host": self._ledger.acting_host},
             )
-        return changed
 
     def _handle_own_record(self, record):
         if getattr(record, "epoch", -1) != self._ledger.epoch:
--- a/knapweedshed/controllers/work_stream.py
+++ b/knapweedshed/controllers/work_stream.py
@@ -1,4 +1,6 @@
-"""Encoding and decoding of the work stream, shared by the controllers that use it."""
+"""Encoding and applying of the work stream, shared by the controllers that use it."""
+
+from typing import Any, NamedTuple
 
 from knapweedshed.codecs import json_text
 from knapweedshed.decisions.record_parts import halve_record
@@ -20,19 +22,28 @@
     return [part for half in halves for part in encode_in_parts(half, max_bytes)]
 
 
-def decode_records(context, page):
-    """Yield (offset, record id, record) for each record of a page.
+class AppliedRecord(NamedTuple):
+    """A record after it was applied to a ledger, and the ids of the jobs it changed."""
+
+    record_id: str
+    record: Any
+    changed_job_ids: list[str]
+
+
+def apply_records(context, ledger, page):
+    """Apply the records of a page to a ledger; yield an `AppliedRecord` after each.
 
-    A record that can't be decoded is logged and skipped; every reader of the same
-    release skips the same records.
+    A record that can't be decoded or applied is logged and skipped; every reader of the
+    same release skips the same records.
     """
     for stored in page.records:
         try:
             record = json_text.loads_message(stored.body)
-        except json_text.TextError as error:
+            changed = ledger.apply(stored.offset, record)
+        except json_text.DECODE_ERRORS as error:
             context.logger.error(
                 "record unreadable",
-                extra={"offset": stored.offset, "reason": str(error)},
+                extra={"offset": stored.offset, "reason": str(error)[:300]},
             )
             continue
-        yield stored.offset, stored.record_id, record
+        yield AppliedRecord(stored.record_id, record, changed)
--- a/knapweedshed/links/hosts.py
+++ b/knapweedshed/links/hosts.py
@@ -7,6 +7,7 @@
 from knapweedshed.models.outcomes import FAILURE_TYPES
 
 HOST_LIST_PERIOD_MS = 2_000
+MAX_LOGGED_ENTRIES = 5
 
 
 class HostsLink(Actor):
@@ -17,6 +18,7 @@
         self._role = role
         self._host_list = host_list
         self._receiver = receiver
+        self._unreadable = ()
 
     def on_stop(self):
         """Close the connection."""
@@ -29,10 +31,19 @@
 
     @receive.register
     def poll(self, message: Tick):
-        """Read the list once and pass it on; count a failure."""
+        """Read the list once and pass it on; count a failure.
+
+        Entries that can't be used are logged when they change.
+        """
         data_centre = self._context.settings.data_centre
-        hosts = self._host_list.hosts(data_centre, self._role)
-        if isinstance(hosts, FAILURE_TYPES):
+        listing = self._host_list.hosts(data_centre, self._role)
+        if isinstance(listing, FAILURE_TYPES):
             self._context.metrics.count("hosts.failures")
             return
-        tell(self._receiver, HostsListed(hosts))
+        if listing.unreadable != self._unreadable:
+            self._unreadable = listing.unreadable
+            self._context.logger.warning(
+                "host entries unreadable",
+                extra={"reasons": listing.unreadable[:MAX_LOGGED_ENTRIES]},
+            )
+        tell(self._receiver, HostsListed(listing.hosts))
--- a/knapweedshed/links/http_platform.py
+++ b/knapweedshed/links/http_platform.py
@@ -21,8 +21,12 @@
     RunnerAnswer,
     StoredRecord,
 )
-from knapweedshed.models.workers import Host, HostState
+from knapweedshed.models.workers import Host, HostListing, HostState
+from knapweedshed.settings import parse_address
 
+MAX_REASON_LENGTH = 300
+MAX_COUNT_DIGITS = 10
+MAX_SLOTS_COUNT = 1_000_000
 LOG_APPEND_TIMEOUT_MS = 2_000
 COMMAND_TIMEOUT_MS = 1_500
 ANSWER_TIMEOUT_MS = 30_000
@@ -65,10 +69,10 @@
         self._client = client
 
     def hosts(self, data_centre, role):
-        """Return the hosts of a role in a data centre, or a failure."""
+        """Return the `HostListing` of a role in a data centre, or a failure."""
         query = {"data_centre": data_centre, "role": role}
         return _decode(
-            self._client.exchange("GET", "/hosts", query=query), _decode_hosts
+            self._client.exchange("GET", "/hosts", query=query), decode_host_listing
         )
 
     def close(self):
@@ -188,8 +192,8 @@
         return RunnerAnswer(
             response.body,
             headers.get("X-Digest", ""),
-            int(headers.get("X-In-Flight", 0)),
-            int(headers.get("X-Slots", 0)),
+            _parse_count(headers.get("X-In-Flight", "")),
+            _parse_count(headers.get("X-Slots", "")),
             headers.get("X-Failed") == "1",
         )
 
@@ -229,8 +233,8 @@
         return response
     try:
         return convert(json_text.loads(response.body))
-    except (json_text.TextError, KeyError, TypeError, ValueError) as error:
-        return NoAnswer(f"unreadable answer: {error}")
+    except json_text.DECODE_ERRORS as error:
+        return NoAnswer(f"unreadable answer: {error}"[:MAX_REASON_LENGTH])
 
 
 def _decode_page(fields):
@@ -238,10 +242,35 @@
     return LogPage(records, int(fields["next"]), int(fields["first"]))
 
 
-def _decode_hosts(fields):
-    return tuple(
-        Host(**{**host, "state": HostState(host["state"])}) for host in fields["hosts"]
-    )
+def decode_host_listing(fields):
+    """Return the `HostListing`; raises one of `DECODE_ERRORS` if there is no list."""
+    hosts, unreadable = [], []
+    for item in fields["hosts"]:
+        try:
+            hosts.append(_decode_host(item))
+        except json_text.DECODE_ERRORS as error:
+            unreadable.append(f"{item!r}: {error!r}"[:MAX_REASON_LENGTH])
+    return HostListing(tuple(hosts), tuple(unreadable))
+
+
+def _decode_host(fields):
+    known = {name: fields[name] for name in Host._fields if name in fields}
+    host = Host(**{**known, "state": HostState(known["state"])})
+    parse_address(host.address)
+    texts = (host.name, host.role, host.data_centre, host.rack, host.incarnation)
+    if not all(isinstance(text, str) and text.isprintable() for text in texts):
+        raise TypeError("expected printable text")
+    if isinstance(host.slots, bool) or not isinstance(host.slots, int):
+        raise TypeError("expected a whole number of slots")
+    if not 0 <= host.slots <= MAX_SLOTS_COUNT:
+        raise ValueError(f"expected at most {MAX_SLOTS_COUNT} slots")
+    return host
+
+
+def _parse_count(text):
+    """Return the number in a header; 0 if there is none, as the load is a hint."""
+    is_count = text.isascii() and text.isdigit() and len(text) < MAX_COUNT_DIGITS
+    return int(text) if is_count else 0
 
 
 def _decode_done(fields):
--- a/knapweedshed/links/platform.py
+++ b/knapweedshed/links/platform.py
@@ -34,9 +34,10 @@
 
     @abstractmethod
     def hosts(self, data_centre, role):
-        """Return a tuple of the `Host`s of a role in a data centre, or a failure.
+        """Return the `HostListing` of a role in a data centre, or a failure.
 
-        A platform that can't filter may return more; the caller ignores the rest.
+        An entry that can't be used must not hide the others. A platform that can't
+        filter may return more; the caller ignores the rest.
         """
 
     @abstractmethod
--- a/knapweedshed/models/workers.py
+++ b/knapweedshed/models/workers.py
@@ -24,6 +24,13 @@
     slots: int = 0
 
 
+class HostListing(NamedTuple):
+    """The platform's list of hosts, and why other entries of it can't be used."""
+
+    hosts: tuple[Host, ...]
+    unreadable: tuple[str, ...] = ()
+
+
 class LeaseState(StrEnum):
     """The state of the task under a lease; a held task is loaded but must not run."""
 
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -3,12 +3,12 @@
 import math
 
 from knapweedshed.codecs import json_text
+from knapweedshed.codecs.json_text import DECODE_ERRORS
 from knapweedshed.links.http_server import HttpResponse, json_response
 from knapweedshed.links.service import CallerCodec
 from knapweedshed.models.calls import CallKind, JobDraft, WorkCall
 from knapweedshed.models.work import Step
 from knapweedshed.platform.feeds import decode_resources
-from knapweedshed.platform.store import DECODE_ERRORS
 from knapweedshed.results import ResultCode
 
 DEADLINE_HEADER = "X-Knapweedshed-Deadline-Ms"
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -1,6 +1,7 @@
 """Feeds of the operator's configuration and of the workers' entries in the store."""
 
 from knapweedshed.codecs import json_text
+from knapweedshed.codecs.json_text import DECODE_ERRORS
 from knapweedshed.links.service import ConfigurationFeed, WorkerFeed
 from knapweedshed.models.outcomes import FAILURE_TYPES, NoAnswer
 from knapweedshed.models.service_configuration import (
@@ -9,12 +10,20 @@
     ServiceConfiguration,
 )
 from knapweedshed.models.work import Resources, WorkerEntry
-from knapweedshed.platform.store import DECODE_ERRORS, Store
+from knapweedshed.platform.fields import (
+    parse_ipv4_address,
+    parse_number,
+    parse_text,
+    parse_whole_number,
+)
+from knapweedshed.platform.store import Store
 
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
 MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
+MAX_WORKER_ID_LENGTH = 200
+MAX_UNREADABLE_COUNT = 1_000  # keys whose last reason is remembered
 WORKER_STATES = ("ready", "draining")
 
 
@@ -106,6 +115,7 @@
         self._topic = KeyedTopic(clock, address, SERVERS_TOPIC)
         self._logger = logger
         self._entries = {}
+        self._unreadable = {}
 
     def read(self):
         """Return a tuple of all valid `WorkerEntry`s, or a failure."""
@@ -129,72 +139,91 @@
 
     def _decode(self, key, value):
         try:
-            return decode_worker(key, json_text.loads(value))
+            entry = decode_worker(key, json_text.loads(value))
         except DECODE_ERRORS as error:
-            self._logger.warning(
-                "worker entry unreadable",
-                extra={"worker": key, "reason": repr(error)[:300]},
-            )
+            self._log_unreadable(key, repr(error)[:300])
             return None
+        self._unreadable.pop(key, None)
+        return entry
+
+    def _log_unreadable(self, key, reason):
+        """Log an entry once for as long as it can't be read for the same reason."""
+        if self._unreadable.get(key) == reason:
+            return
+        if len(self._unreadable) >= MAX_UNREADABLE_COUNT:
+            self._unreadable.clear()
+        self._unreadable[key] = reason
+        self._logger.warning(
+            "worker entry unreadable", extra={"worker": key[:300], "reason": reason}
+        )
 
 
 def decode_configuration(fields):
     """Return the `ServiceConfiguration`; raises one of `DECODE_ERRORS`."""
     queues = tuple(
         Queue(
-            route["name"],
-            route["host"],
-            route["path_prefix"],
-            route["service"],
-            int(route.get("priority", 0)),
-            int(route.get("max_attempts", 1)),
-            float(route.get("slo_factor", 1.0)),
-            int(route.get("slo_ms", 0)),
+            parse_text(route["name"]),
+            parse_text(route["host"]),
+            parse_text(route["path_prefix"]),
+            parse_text(route["service"]),
+            parse_whole_number(route.get("priority", 0)),
+            parse_whole_number(route.get("max_attempts", 1)),
+            parse_number(route.get("slo_factor", 1.0)),
+            parse_whole_number(route.get("slo_ms", 0)),
             bool(route.get("public", False)),
         )
         for route in fields["routes"]
     )
     organisations = tuple(
         ConfiguredOrganisation(
-            tenant["name"],
-            tuple(tenant.get("api_keys", ())),
-            int(tenant.get("guaranteed", {}).get("gpu", 0)),
+            parse_text(tenant["name"]),
+            tuple(parse_text(key) for key in tenant.get("api_keys", ())),
+            parse_whole_number(tenant.get("guaranteed", {}).get("gpu", 0)),
         )
         for tenant in fields.get("tenants", ())
     )
-    max_body_bytes = int(fields.get("limits", {}).get("max_body_bytes", 262_144))
+    max_body_bytes = fields.get("limits", {}).get("max_body_bytes", 262_144)
     return ServiceConfiguration(
-        int(fields["version"]), queues, organisations, max_body_bytes
+        parse_whole_number(fields["version"]),
+        queues,
+        organisations,
+        parse_whole_number(max_body_bytes),
     )
 
 
 def decode_worker(worker_id, fields):
-    """Return the `WorkerEntry`; raises one of `DECODE_ERRORS`."""
+    """Return the `WorkerEntry`; raises one of `DECODE_ERRORS`.
+
+    Everything that a connection to the worker needs is checked here.
+    """
     if fields["state"] not in WORKER_STATES:
-        raise ValueError(f"unknown worker state {fields['state']!r}")
-    capacity = fields["capacity"]
+        raise ValueError(f"unknown worker state {fields['state']!r}"[:100])
+    if not (worker_id.isascii() and worker_id.isprintable()) or " " in worker_id:
+        raise ValueError("expected an id of printable ASCII characters")
+    if not 0 < len(worker_id) <= MAX_WORKER_ID_LENGTH:
+        raise ValueError(f"expected an id of {MAX_WORKER_ID_LENGTH} characters at most")
     labels = fields["labels"]
-    if not all(isinstance(label, str) for label in labels):
-        raise TypeError("expected labels to be text")
+    if not isinstance(labels, list):
+        raise TypeError("expected a list of labels")
     return WorkerEntry(
         worker_id,
-        _parse_text(fields["service"]),
-        _parse_text(fields["addr"]),
-        _parse_text(fields["zone"]),
+        parse_text(fields["service"]),
+        parse_ipv4_address(fields["addr"]),
+        parse_text(fields["zone"]),
         fields["state"] == "draining",
-        decode_resources(capacity),
-        tuple(labels),
-        _parse_whole_number(fields["born"]),
-        _parse_whole_number(fields.get("remaining_ms", 0)),
+        decode_resources(fields["capacity"]),
+        tuple(parse_text(label) for label in labels),
+        parse_whole_number(fields["born"]),
+        parse_whole_number(fields.get("remaining_ms", 0)),
     )
 
 
 def decode_resources(fields):
     """Return `Resources`, with 0 for missing fields; raises one of `DECODE_ERRORS`."""
     return Resources(
-        _parse_whole_number(fields.get("cpu", 0)),
-        _parse_whole_number(fields.get("mem_mb", 0)),
-        _parse_whole_number(fields.get("gpu", 0)),
+        parse_whole_number(fields.get("cpu", 0)),
+        parse_whole_number(fields.get("mem_mb", 0)),
+        parse_whole_number(fields.get("gpu", 0)),
     )
 
 
@@ -205,15 +234,3 @@
         return None
     key = body[1 : 1 + length].decode("utf-8", "replace")
     return key, body[1 + length :]
-
-
-def _parse_whole_number(value):
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
-        raise TypeError(f"expected a whole number, got {value!r}"[:100])
-    return value
-
-
-def _parse_text(value):
-    if not isinstance(value, str):
-        raise TypeError(f"expected text, got {value!r}"[:100])
-    return value
--- /dev/null
+++ b/knapweedshed/platform/fields.py
@@ -0,0 +1,53 @@
+"""Checks of single fields in the bodies of other writers.
+
+A value that passes can be used in arithmetic, log lines, headers and connections.
+"""
+
+import ipaddress
+import math
+
+MAX_NUMBER = 1 << 53  # exact as a float; milliseconds until far beyond any clock
+MAX_TEXT_LENGTH = 2_000
+MAX_PORT = 65_535
+
+
+def parse_whole_number(value):
+    """Return a whole number from 0 to `MAX_NUMBER`; raises TypeError or ValueError."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"expected a whole number, got {type(value).__name__}")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}")
+    return value
+
+
+def parse_number(value):
+    """Return a finite number from 0 to `MAX_NUMBER`; raises TypeError or ValueError."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"expected a number, got {type(value).__name__}")
+    if not (math.isfinite(value) and 0 <= value <= MAX_NUMBER):
+        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}")
+    return float(value)
+
+
+def parse_text(value):
+    """Return printable text of `MAX_TEXT_LENGTH` characters at most.
+
+    Raises TypeError or ValueError. Surrogates aren't printable: text that passes can be
+    encoded.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"expected text, got {type(value).__name__}")
+    if len(value) > MAX_TEXT_LENGTH:
+        raise ValueError(f"expected {MAX_TEXT_LENGTH} characters at most")
+    if not value.isprintable():
+        raise ValueError("expected printable text")
+    return value
+
+
+def parse_ipv4_address(value):
+    """Return `ip:port` with an IPv4 address; raises TypeError or ValueError."""
+    host, _, port = parse_text(value).rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"expected a port from 1 to {MAX_PORT}")
+    return value
--- a/knapweedshed/platform/store.py
+++ b/knapweedshed/platform/store.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from knapweedshed.codecs import json_text
+from knapweedshed.codecs.json_text import DECODE_ERRORS
 from knapweedshed.links.blocking_connection import BlockingConnection
 from knapweedshed.links.http_messages import Response
 from knapweedshed.links.platform import LogService
@@ -30,18 +31,6 @@
 HTTP_GONE = 410
 HTTP_OK = 200
 
-# Raised by decoding a body that is not in the documented format.
-DECODE_ERRORS = (
-    json_text.TextError,
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    IndexError,
-    OverflowError,
-    RecursionError,
-)
-
 
 class RawPage(NamedTuple):
     """Encoded records from `first_offset` on.
@@ -131,7 +120,7 @@
                 for item in page["items"]:
                     values[item["key"]] = json_text.decode_base64(item["value"])
                     last_key = item["key"]
-                end = page["end"] if end < 0 else end
+                end = int(page["end"]) if end < 0 else end
                 has_more = bool(page.get("more_pages"))
                 if has_more and not page["items"]:
                     return NoAnswer("list of keys ends before its last page")
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -1,6 +1,7 @@
 """Codec of the platform's task runners, which are the scheduler's workers."""
 
 from knapweedshed.codecs import json_text
+from knapweedshed.codecs.json_text import DECODE_ERRORS
 from knapweedshed.links.http_messages import Response
 from knapweedshed.links.service import WorkerCall, WorkerCodec
 from knapweedshed.models.dispatch_actions import (
@@ -16,7 +17,7 @@
 )
 from knapweedshed.models.outcomes import NoAnswer, NotSent, Refused
 from knapweedshed.models.work import EndKind, HoldAnswer, Task, TaskEnd, TaskRun
-from knapweedshed.platform.store import DECODE_ERRORS
+from knapweedshed.platform.fields import parse_number, parse_text, parse_whole_number
 
 HTTP_OK, HTTP_CONFLICT, HTTP_MISDIRECTED = 200, 409, 421
 UNHEALTHY_STATUSES = (429, 503)
@@ -76,11 +77,12 @@
 
 
 def decode_task(name):
-    """Return the `Task` of a platform name; raises ValueError."""
-    parts = name.split(".")
+    """Return the `Task` of a platform name; raises TypeError or ValueError."""
+    parts = parse_text(name).split(".")
     if len(parts) != TASK_NAME_PARTS:
         raise ValueError(f"not a task name: {name!r}"[:100])
-    return Task(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    occurrence, step, index = (parse_whole_number(int(part)) for part in parts[1:])
+    return Task(parts[0], occurrence, step, index)
 
 
 def _encode_call(path, entry, body):
@@ -95,16 +97,27 @@
     """Return `HoldAnswer`; raises one of `DECODE_ERRORS`."""
 
     running = tuple(
-        TaskRun(decode_task(row[0]), int(row[1]), row[2], float(row[3]))
+        TaskRun(
+            decode_task(row[0]),
+            parse_whole_number(row[1]),
+            parse_text(row[2]),
+            parse_number(row[3]),
+        )
         for row in fields["running"]
     )
     ended = tuple(
-        TaskEnd(int(row[0]), decode_task(row[1]), int(row[2]), EndKind(row[3]), row[4])
+        TaskEnd(
+            parse_whole_number(row[0]),
+            decode_task(row[1]),
+            parse_whole_number(row[2]),
+            EndKind(row[3]),
+            parse_text(row[4]),
+        )
         for row in fields["ended"]
     )
     return HoldAnswer(
-        int(fields["clock_ms"]),
-        int(fields["born"]),
+        parse_whole_number(fields["clock_ms"]),
+        parse_whole_number(fields["born"]),
         running,
         ended,
         is_complete=len(ended) < MAX_LISTED_ENDS,
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -128,7 +128,7 @@
             stored = self.topics.get(topic, [])
             newest = {}
             for offset, record in enumerate(stored):
-                key = record[1 : 1 + record[0]].decode()
+                key = record[1 : 1 + record[0]].decode("utf-8", "replace")
                 value = record[1 + record[0] :]
                 newest[key] = (value, offset)
             items = [
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -8,6 +8,7 @@
 
 from knapweedshed.codecs import json_text
 from knapweedshed.codecs.catalogue import register_all
+from knapweedshed.codecs.json_text import DECODE_ERRORS
 from knapweedshed.links.http_messages import HttpParseError, Response, ResponseParser
 from knapweedshed.links.http_server import HttpRequest
 from knapweedshed.models.calls import WorkCall
@@ -16,7 +17,7 @@
 from knapweedshed.models.work import HoldAnswer
 from knapweedshed.platform.callers import JsonCallerCodec
 from knapweedshed.platform.feeds import decode_configuration, decode_worker
-from knapweedshed.platform.store import DECODE_ERRORS, RawPage, _decode_page
+from knapweedshed.platform.store import RawPage, _decode_page
 from knapweedshed.platform.workers import JsonWorkerCodec
 
 EXAMPLE_COUNT = 300
