Take guaranteed accelerators back from urgent work that borrowed them

PROTOCOL.md: the guaranteed accelerators belong to the tenant "at all times. Others may use whatever is idle."

Cause: the candidates for preemption were runs of a lower priority only. Ruled out: a shortage (the job began as soon as one borrowing job was cancelled).

Urgent units beyond their tenant's guarantee may be stopped for covered ones that need accelerators and have waited for 800 ms, when lower priorities don't make enough room.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -5,7 +5,11 @@
 
 from knapweedshed.decisions.free_capacity import FreeCapacity, RackCapacities
 from knapweedshed.decisions.preemption import PreemptionCandidate, choose_victims
-from knapweedshed.decisions.waiting import URGENT_PRIORITY, collect_waiting_steps
+from knapweedshed.decisions.waiting import (
+    URGENT_PRIORITY,
+    collect_waiting_steps,
+    find_borrowing_units,
+)
 from knapweedshed.decisions.work_order import core_seconds
 from knapweedshed.models.dispatch_actions import Preempted
 from knapweedshed.models.work import GANG_INDEX
@@ -20,6 +24,9 @@
 FAST_WORKER_WAIT_MS = 800
 # How long a guaranteed unit leaves the places that others have claimed to them.
 GUARANTEE_PATIENCE_MS = 1_000
+# How long a guaranteed unit waits for room that other urgent work lends, before it is
+# taken back: most of that work ends meanwhile, and a stop takes up to 900 ms.
+BORROWED_ROOM_WAIT_MS = 800
 # How long a gang waits for a rack of its own while much of the service is idle. On
 # several racks it takes about three times as long.
 RACK_WAIT_MS = 1_500
@@ -100,6 +107,7 @@
         self._no_room = set()
         self._no_victims = set()
         self._candidates_by_priority = {}
+        self._borrowers = None
 
     def plan(self):
         planning_input = self._planning_input
@@ -227,10 +235,7 @@
             waiting, self._capacity.allocate(waiting, multi_rack, min_speed)
         ):
             return True
-        seen_ms = self._planning_input.waiting_since_ms.get(
-            waiting.units[0][:3], now_ms
-        )
-        if now_ms - min(seen_ms, waiting.arrival_ms) > FAST_WORKER_WAIT_MS:
+        if self._waited_ms(waiting) > FAST_WORKER_WAIT_MS:
             return False
         if self._capacity.reserve(waiting, multi_rack, min_speed):
             return True
@@ -252,29 +257,57 @@
         """
         if self._capacity.reserve(waiting, multi_rack):
             return True
-        preemption_key = (waiting.step, waiting.count, waiting.guaranteed)
+        may_reclaim = self._may_reclaim(waiting)
+        preemption_key = (waiting.step, waiting.count, waiting.guaranteed, may_reclaim)
         if preemption_key in self._no_victims:
             return False
         workers = self._capacity.workers_after_stops(waiting, all_workers=True)
         max_cost = max_preemption_cost(waiting, self._planning_input.now_ms)
         victims = self._choose_victims(waiting, workers, multi_rack, max_cost)
+        if not victims and may_reclaim:
+            victims = self._choose_victims(
+                waiting, workers, multi_rack, max_cost, from_borrowers=True
+            )
         if not victims:
             self._no_victims.add(preemption_key)
             return False
         self._preempt(waiting, victims, multi_rack)
         return True
 
-    def _choose_victims(self, waiting, workers, multi_rack, max_cost):
+    def _may_reclaim(self, waiting):
+        """Return whether a unit may take back room that its guarantee has lent.
+
+        Work without accelerators is covered by no guarantee and must not take them.
+        """
+        if not (waiting.guaranteed and waiting.step.need.accelerators):
+            return False
+        return self._waited_ms(waiting) >= BORROWED_ROOM_WAIT_MS
+
+    def _waited_ms(self, waiting):
+        """Return how long a step has waited, also if the wall clock was set back."""
+        now_ms = self._planning_input.now_ms
+        seen_ms = self._planning_input.waiting_since_ms.get(
+            waiting.units[0][:3], now_ms
+        )
+        return now_ms - min(seen_ms, waiting.arrival_ms)
+
+    def _choose_victims(
+        self, waiting, workers, multi_rack, max_cost, from_borrowers=False
+    ):
         """Return victims that cost `max_cost` core-seconds at most, or None.
 
-        What earlier preemptions for the unit have cost counts too.
+        What earlier preemptions for the unit have cost counts too. With
+        `from_borrowers` the victims may be urgent units that no guarantee covers.
         """
         claims = self._planning_input.preemption_claims
+        candidates = self._candidates_below(waiting.priority)
+        if from_borrowers:
+            candidates = candidates + self._borrowing_candidates()
         return choose_victims(
             waiting.step,
             waiting.count,
             workers,
-            self._candidates_below(waiting.priority),
+            candidates,
             multi_rack,
             max_cost - claims.lost_core_s(waiting.units[0]),
         )
@@ -299,16 +332,56 @@
     def _candidates_below(self, priority):
         """Return the running units that may be preempted for work of `priority`."""
         if priority not in self._candidates_by_priority:
+            ledger, runs = self._planning_input.ledger, self._planning_input.runs
+            units = [
+                unit
+                for unit in runs
+                if ledger.jobs[unit.job_id].job.priority > priority
+            ]
+            self._candidates_by_priority[priority] = self._candidates(units)
+        return self._not_preempted(self._candidates_by_priority[priority])
+
+    def _borrowing_candidates(self):
+        """Return the urgent running units that no guarantee covers."""
+        if self._borrowers is None:
             planning_input = self._planning_input
-            self._candidates_by_priority[priority] = _preemption_candidates(
-                priority,
-                planning_input.ledger,
-                planning_input.runs,
-                planning_input.now_ms,
+            self._borrowers = self._candidates(
+                find_borrowing_units(
+                    planning_input.ledger,
+                    planning_input.runs,
+                    planning_input.configuration,
+                )
+            )
+        return self._not_preempted(self._borrowers)
+
+    def _candidates(self, units):
+        """Return a `PreemptionCandidate` for each of the units that has started.
+
+        A step with checkpoints loses at most one second of work.
+        """
+        candidates = []
+        for unit in units:
+            unit_run = self._planning_input.runs[unit]
+            if unit_run.ending or not unit_run.launched:
+                continue
+            step = self._planning_input.ledger.jobs[unit.job_id].job.steps[unit.step]
+            allocations = tuple(
+                (worker_id, step.need)
+                for worker_id in unit_run.workers_by_task.values()
+            )
+            ran_ms = self._planning_input.now_ms - unit_run.started_ms
+            if step.checkpoints:
+                ran_ms = min(ran_ms, MS_PER_SECOND)
+            lost_core_s = core_seconds(
+                step._replace(estimate_ms=ran_ms), len(allocations)
             )
+            candidates.append(PreemptionCandidate(unit, allocations, lost_core_s))
+        return candidates
+
+    def _not_preempted(self, candidates):
         return [
             candidate
-            for candidate in self._candidates_by_priority[priority]
+            for candidate in candidates
             if candidate.unit not in self._preempted_units
         ]
 
@@ -325,25 +398,3 @@
     if now_ms + waiting.critical_path_ms <= waiting.late_limit_ms:
         return MAX_LOSS_RATIO_LATE * waiting.work_core_s
     return 0.0
-
-
-def _preemption_candidates(priority, ledger, runs, now_ms):
-    """Return the launched runs of a priority lower than `priority`.
-
-    A step with checkpoints loses at most one second of work.
-    """
-    candidates = []
-    for unit, unit_run in runs.items():
-        job = ledger.jobs[unit.job_id].job
-        if unit_run.ending or not unit_run.launched or job.priority <= priority:
-            continue
-        step = job.steps[unit.step]
-        allocations = tuple(
-            (worker_id, step.need) for worker_id in unit_run.workers_by_task.values()
-        )
-        ran_ms = now_ms - unit_run.started_ms
-        if step.checkpoints:
-            ran_ms = min(ran_ms, MS_PER_SECOND)
-        lost_core_s = core_seconds(step._replace(estimate_ms=ran_ms), len(allocations))
-        candidates.append(PreemptionCandidate(unit, allocations, lost_core_s))
-    return candidates
--- a/knapweedshed/decisions/waiting.py
+++ b/knapweedshed/decisions/waiting.py
@@ -34,6 +34,32 @@
     ]
 
 
+def find_borrowing_units(ledger, runs, configuration):
+    """Return the running urgent units that no guarantee covers.
+
+    A guarantee covers units in order of the acceptance of their jobs. Units without
+    accelerators belong to no guarantee.
+    """
+    urgent_runs = [
+        (ledger.jobs[unit.job_id], unit, unit_run)
+        for unit, unit_run in runs.items()
+        if ledger.jobs[unit.job_id].job.priority == URGENT_PRIORITY
+        and not unit_run.ending
+    ]
+    urgent_runs.sort(key=lambda item: (item[0].offset, item[1]))
+    used, borrowing = {}, set()
+    for progress, unit, unit_run in urgent_runs:
+        owner = progress.job.organisation
+        need = progress.job.steps[unit.step].need
+        accelerators = need.accelerators * len(unit_run.workers_by_task)
+        total = used.get(owner, 0) + accelerators
+        if accelerators and total <= configuration.guaranteed_accelerators(owner):
+            used[owner] = total
+        else:
+            borrowing.add(unit)
+    return borrowing
+
+
 def target_speed(work_left_ms, time_left_ms):
     """Return the speed needed to end on time, or the maximum if none suffices.
 
