--- a/knapweedshed/links/http_connection.py
+++ b/knapweedshed/links/http_connection.py
@@ -43,6 +43,10 @@
         """Return whether the connection is still being opened."""
         return self._connecting
 
+    def is_reusable(self, now_ms):
+        """Return whether the next exchange uses the connection that is open now."""
+        return self._socket is not None and now_ms - self._last_used_ms <= MAX_IDLE_MS
+
     def close(self):
         """Close the connection; an exchange in progress ends without a result."""
         self._in_exchange = False
@@ -53,7 +57,7 @@
 
     def send(self, data, now_ms):
         """Begin an exchange with the encoded request `data`."""
-        if now_ms - self._last_used_ms > MAX_IDLE_MS:
+        if not self.is_reusable(now_ms):
             self.close()
         self._last_used_ms = now_ms
         self._in_exchange = True
--- a/knapweedshed/links/worker_connections.py
+++ b/knapweedshed/links/worker_connections.py
@@ -245,6 +245,13 @@
         return self._waiting.popleft() if self._waiting else None
 
     def _encode(self, request):
+        """Encode a hold; the first one on a connection acknowledges no ends.
+
+        The worker may have started anew since the last one, and its new ends have the
+        numbers of earlier ones.
+        """
+        if not self._connection.is_reusable(self._sent_ms):
+            request = request._replace(acknowledged_upto=0)
         return self._codec.encode_hold(self._entry, request)
 
     def _decode(self, request, result):
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -88,6 +88,11 @@
                 elif fault == Fault.FREEZE_OPEN:
                     connection.frozen = True
 
+    def fault_of(self, front_port):
+        """Return the fault that applies to a front port."""
+        with self._lock:
+            return self._faults.get(front_port, Fault.NONE)
+
     def cut_responses_after(self, front_ports, byte_count):
         """Cut one connection of each port, after `byte_count` more response bytes."""
         with self._lock:
