Place nothing on a worker before its new entry is listed; keep runner calls

A call of a runner that raised an error was never reported as ended: its caller waited to its deadline, and one of the entry's callers was gone for good. It ends as unknown now (test_fault_containment fails without it).

--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -146,10 +146,15 @@
         )
 
     def accepts_work(self, now_ms):
-        """Return whether new work may be placed on this worker."""
+        """Return whether new work may be placed on this worker.
+
+        A worker that has started anew may be of another kind: its capacity and labels
+        are unknown until the list has the entry of its present incarnation.
+        """
         return (
             self.entry is not None
             and self.has_answered
+            and self.entry.incarnation == self.incarnation
             and not self.entry.draining
             and not self.is_silent
             and now_ms - self.last_answer_ms < MAX_ANSWER_AGE_MS
--- a/knapweedshed/links/runners.py
+++ b/knapweedshed/links/runners.py
@@ -4,6 +4,7 @@
 
 from knapweedshed.actors import Actor, tell
 from knapweedshed.controllers.entry_messages import RunnerCall, RunnerCallEnded
+from knapweedshed.models.outcomes import NoAnswer
 
 
 class RunnerLink(Actor):
@@ -40,3 +41,13 @@
         took_ms = clock.now_ms() - started_ms
         response = RunnerCallEnded(message, outcome, took_ms, self.actor_ref)
         tell(message.receiver, response)
+
+    def recover(self, message):
+        """Report a call that raised an error: its caller waits, and so does this actor.
+
+        The runner may have run it.
+        """
+        if isinstance(message, RunnerCall):
+            outcome = NoAnswer("the call raised an error")
+            response = RunnerCallEnded(message, outcome, 0, self.actor_ref)
+            tell(message.receiver, response)
--- a/tests/test_fault_containment.py
+++ b/tests/test_fault_containment.py
@@ -6,11 +6,13 @@
 from knapweedshed.actors import stop
 from knapweedshed.clock import create_clock
 from knapweedshed.context import create_test_context
+from knapweedshed.controllers.entry_messages import RunnerCall
 from knapweedshed.controllers.messages import AppendRecord
 from knapweedshed.controllers.work_messages import SetWorkerPolling
 from knapweedshed.links.feeds import ConfigurationFeedLink, WorkerFeedLink
 from knapweedshed.links.log import LogAppender, LogTail
-from knapweedshed.models.outcomes import LogPage
+from knapweedshed.links.runners import RunnerLink
+from knapweedshed.models.outcomes import LogPage, NoAnswer
 from knapweedshed.models.service_configuration import ServiceConfiguration
 from knapweedshed.models.work import EndKind, Task, TaskEnd, TaskRun
 from knapweedshed.platform.feeds import StoreConfigurationFeed, StoreWorkerFeed
@@ -60,6 +62,16 @@
         link = LogTail.start(self.context, log, self.timer, "work", self.collector)
         self.assertTrue(self._next_message(link).caught_up)
 
+    def test_call_of_a_runner_that_raised_ends_without_an_answer(self):
+        client = mock.Mock(call=mock.Mock(side_effect=UNEXPECTED))
+        platform = mock.Mock(runner=mock.Mock(return_value=client))
+        link = RunnerLink.start(self.context, platform)
+        request = mock.Mock(request_id="q", attempt=0)
+        link.tell(RunnerCall(request, "r1", "127.0.0.1:1", 100, self.collector))
+        ended = self._next_message(link)
+        self.assertIsInstance(ended.outcome, NoAnswer)
+        self.assertEqual(ended.caller, link)
+
     def test_outcome_of_an_append_that_raised_is_unknown_and_the_next_one_is_sent(self):
         log = mock.Mock(append=mock.Mock(side_effect=[UNEXPECTED, 7]))
         link = LogAppender.start(self.context, log)
--- a/tests/test_silent_workers.py
+++ b/tests/test_silent_workers.py
@@ -5,7 +5,13 @@
 
 from knapweedshed import clock
 from knapweedshed.models.work import EndKind, HoldAnswer, TaskEnd, TaskRun
-from tests.dispatch_harness import DispatchHarness, make_entry, make_job
+from tests.dispatch_harness import (
+    CAPACITY,
+    DispatchHarness,
+    make_entry,
+    make_job,
+    make_step,
+)
 
 LEASE_MS = 6_000  # of the harness
 
@@ -105,6 +111,23 @@
             worker = self.harness.dispatcher.workers[self.worker_id]
             self.assertEqual(worker.incarnation, incarnation)
 
+    def test_worker_that_started_anew_gets_no_work_before_its_new_entry_is_listed(self):
+        # LIMIT: 8 tasks on a worker that had come back with 4 accelerators.
+        harness = DispatchHarness(workers=1)
+        harness.start_term()
+        harness.now_ms += 10
+        answer = HoldAnswer(harness.now_ms, 2, (), (), True)
+        harness.dispatcher.handle_hold_answer(
+            "w0", answer, harness.now_ms, harness.now_ms
+        )
+        harness.accept(make_job(steps=(make_step(8),)))
+        harness.plan()
+        self.assertEqual(harness.started, [])
+        smaller = CAPACITY._replace(accelerators=4)
+        harness.entries[0] = make_entry(0, incarnation=2)._replace(capacity=smaller)
+        harness.plan()
+        self.assertEqual(len(harness.started), 4)
+
     def test_draining_worker_stays_draining_for_its_incarnation(self):
         harness = DispatchHarness(entries=[make_entry(0, draining=True)])
         harness.start_term()
