Read back a launch whose worker is gone; accept whole numbers written as fractions

A launch that is read back after one of its workers was forgotten raised KeyError, and the rest of the page of the log was lost at that host; the new test in test_waiting_orders fails without the fix. And a configuration whose numbers are written as 1000.0 would have been refused whole; checkpoints that contain unprintable characters would have made a worker's lists unreadable.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -496,10 +496,13 @@
 
     def _is_outdated(self, unit_run, launched, now_ms):
         """Return whether a launch is on workers that may not take it any more."""
-        workers = [self._workers[worker_id] for worker_id, _ in launched.workers]
-        for worker, (_, incarnation) in zip(workers, launched.workers, strict=True):
-            if worker.life != WorkerLife(incarnation, leaving=False):
+        workers = []
+        for worker_id, incarnation in launched.workers:
+            worker = self._workers.get(worker_id)
+            planned_life = WorkerLife(incarnation, leaving=False)
+            if worker is None or worker.life != planned_life:
                 return True
+            workers.append(worker)
         if now_ms - unit_run.started_ms <= MAX_LAUNCH_AGE_MS:
             return False
         accepted = all(worker.accepts_work(now_ms) for worker in workers)
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -166,10 +166,10 @@
             parse_text(route["host"]),
             parse_text(route["path_prefix"]),
             parse_text(route["service"]),
-            parse_whole_number(route.get("priority", 0)),
-            parse_whole_number(route.get("max_attempts", 1)),
+            int(parse_number(route.get("priority", 0))),
+            int(parse_number(route.get("max_attempts", 1))),
             parse_number(route.get("slo_factor", 1.0)),
-            parse_whole_number(route.get("slo_ms", 0)),
+            int(parse_number(route.get("slo_ms", 0))),
             bool(route.get("public", False)),
         )
         for route in fields["routes"]
@@ -178,16 +178,16 @@
         ConfiguredOrganisation(
             parse_text(tenant["name"]),
             tuple(parse_text(key) for key in tenant.get("api_keys", ())),
-            parse_whole_number(tenant.get("guaranteed", {}).get("gpu", 0)),
+            int(parse_number(tenant.get("guaranteed", {}).get("gpu", 0))),
         )
         for tenant in fields.get("tenants", ())
     )
     max_body_bytes = fields.get("limits", {}).get("max_body_bytes", 262_144)
     return ServiceConfiguration(
-        parse_whole_number(fields["version"]),
+        int(parse_number(fields["version"])),
         queues,
         organisations,
-        parse_whole_number(max_body_bytes),
+        int(parse_number(max_body_bytes)),
     )
 
 
--- a/knapweedshed/platform/fields.py
+++ b/knapweedshed/platform/fields.py
@@ -35,12 +35,20 @@
     Raises TypeError or ValueError. Surrogates aren't printable: text that passes can be
     encoded.
     """
+    if not parse_opaque_text(value).isprintable():
+        raise ValueError("expected printable text")
+    return value
+
+
+def parse_opaque_text(value):
+    """Return any text of `MAX_TEXT_LENGTH` characters at most, to be given back.
+
+    Raises TypeError or ValueError.
+    """
     if not isinstance(value, str):
         raise TypeError(f"expected text, got {type(value).__name__}")
     if len(value) > MAX_TEXT_LENGTH:
         raise ValueError(f"expected {MAX_TEXT_LENGTH} characters at most")
-    if not value.isprintable():
-        raise ValueError("expected printable text")
     return value
 
 
--- a/knapweedshed/platform/workers.py
+++ b/knapweedshed/platform/workers.py
@@ -17,7 +17,12 @@
 )
 from knapweedshed.models.outcomes import NoAnswer, NotSent, Refused
 from knapweedshed.models.work import EndKind, HoldAnswer, Task, TaskEnd, TaskRun
-from knapweedshed.platform.fields import parse_number, parse_text, parse_whole_number
+from knapweedshed.platform.fields import (
+    parse_number,
+    parse_opaque_text,
+    parse_text,
+    parse_whole_number,
+)
 
 HTTP_OK, HTTP_CONFLICT, HTTP_MISDIRECTED = 200, 409, 421
 UNHEALTHY_STATUSES = (429, 503)
@@ -100,7 +105,7 @@
         TaskRun(
             decode_task(row[0]),
             parse_whole_number(row[1]),
-            parse_text(row[2]),
+            parse_opaque_text(row[2]),
             parse_number(row[3]),
         )
         for row in fields["running"]
@@ -111,7 +116,7 @@
             decode_task(row[1]),
             parse_whole_number(row[2]),
             EndKind(row[3]),
-            parse_text(row[4]),
+            parse_opaque_text(row[4]),
         )
         for row in fields["ended"]
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -279,6 +279,12 @@
 class ConfigurationTest(unittest.TestCase):
     """A configuration is refused whole, or calls can be looked up in it."""
 
+    def test_numbers_may_be_written_with_a_fraction(self):
+        queue = decode_configuration(
+            {**CONFIGURATION, "version": 8.0, "limits": {"max_body_bytes": 1000.0}}
+        ).queues[0]
+        self.assertEqual(queue.objective_ms, 1_000)
+
     def test_odd_values_in_each_place(self):
         for fields in odd_variants(CONFIGURATION):
             try:
--- a/tests/test_waiting_orders.py
+++ b/tests/test_waiting_orders.py
@@ -32,7 +32,7 @@
 from knapweedshed.models.work import EndKind, Task, TaskEnd, TaskRun
 from knapweedshed.models.work_records import WorkCancelled
 from knapweedshed.platform.workers import JsonWorkerCodec
-from tests.dispatch_harness import make_entry, make_job, make_step
+from tests.dispatch_harness import CAPACITY, make_entry, make_job, make_step
 from tests.scheduling_harness import FakeActorRef, SchedulingHarness
 
 JOB_ID = "a" * 16
@@ -44,6 +44,10 @@
     return StartRun("w0", Task(JOB_ID, 0, 0, index), run, "text", "", 99_000)
 
 
+def is_start(order):
+    return isinstance(order, StartRun)
+
+
 def make_stop(index, run=1):
     return StopRun("w0", Task(JOB_ID, 0, 0, index), run)
 
@@ -212,6 +216,20 @@
         self.harness.append(self.records)
         self.assertEqual(self.harness.connections.take(OrderRequest), [])
 
+    def test_launch_on_a_worker_that_is_gone_is_not_started(self):
+        harness = SchedulingHarness(workers=2)
+        gang = make_step(2, CAPACITY._replace(memory_mb=1_000), gang=True)
+        harness.accept(make_job(JOB_ID, steps=(gang,)))
+        records = harness.plan()
+        harness.controller.receive(WorkersListed(harness.entries[:1]))
+        for _ in range(10):
+            harness.tick(after_ms=900)
+            harness.answer_hold("w0")
+        self.assertNotIn("w1", harness.controller.dump()["workers"])
+        harness.append(records)
+        sent = harness.connections.take(OrderRequest)
+        self.assertEqual([item for item in sent if is_start(item.order)], [])
+
     def test_run_that_was_not_sent_is_decided_again(self):
         for reason in (REASON_EXPIRED, REASON_WITHDRAWN):
             with self.subTest(reason=reason):
