--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -10,20 +10,31 @@
 
 import fire
 
-from tests.soak import run_seed
+from tests.soak import HOST_COUNT, WORKER_COUNT, run_seed
 
 FAULTS_S = 30
 
 
-def soak(seeds=10, first=1, jobs=2, faults_s=FAULTS_S, keep_logs=".run/soak"):
+def soak(
+    seeds=10,
+    first=1,
+    jobs=2,
+    faults_s=FAULTS_S,
+    keep_logs=".run/soak",
+    hosts=HOST_COUNT,
+    workers=WORKER_COUNT,
+):
     """Play `seeds` seeds from `first` on, `jobs` at a time, `faults_s` seconds each.
 
+    Each seed has `hosts` host processes, and `workers` workers in one process.
     The logs of seeds that broke a promise are kept in the folder `keep_logs`.
     """
     reports = []
     with ProcessPoolExecutor(jobs) as executor:
         futures = [
-            executor.submit(run_seed, seed, faults_s, keep_logs)
+            executor.submit(
+                run_seed, seed, faults_s, keep_logs, hosts=hosts, workers=workers
+            )
             for seed in range(first, first + seeds)
         ]
         try:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -107,9 +107,9 @@
 
 
 class Soak:
-    """One run of the soak."""
+    """One run of the soak with `hosts` processes and `workers` workers."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, hosts=HOST_COUNT, workers=WORKER_COUNT):
         self._random = random.Random(seed)
         self._seed = seed
         self._proxy = Proxy()
@@ -119,8 +119,9 @@
         self._workers = SoakWorkers(self._store)
         self._hosts = [
             SoakHost(f"edge-{n}", self._proxy, self._store, folder, self._ports)
-            for n in range(HOST_COUNT)
+            for n in range(hosts)
         ]
+        self._worker_count = workers
         self._worker_ports = {}
         self._next_worker = 0
         self._faults = {}
@@ -139,7 +140,7 @@
         """Play faults for `duration_s`, let the system settle; return a report."""
         self._proxy.start()
         self._workers.start()
-        for _ in range(WORKER_COUNT):
+        for _ in range(self._worker_count):
             self._add_worker()
         for host in self._hosts:
             host.start()
@@ -536,13 +537,14 @@
         process.send_signal(signal.SIGCONT)
 
 
-def run_seed(seed, duration_s, keep_logs=""):
+def run_seed(seed, duration_s, keep_logs="", **sizes):
     """Run the soak for one seed; return a `SoakReport`.
 
-    The processes' logs are kept in the folder `keep_logs` if a promise was broken.
+    `sizes` are the numbers of `hosts` and `workers`. The processes' logs are kept in
+    the folder `keep_logs` if a promise was broken.
     """
     with tempfile.TemporaryDirectory() as folder:
-        report = Soak(seed, folder).run(duration_s)
+        report = Soak(seed, folder, **sizes).run(duration_s)
         if report.broken and keep_logs:
             shutil.copytree(folder, os.path.join(keep_logs, f"seed-{seed}"))
     return report
