Call parse_address for workers' addresses; play the race's delays as documented

Found by reading the whole change again.

The cancel race multiplied a delay of up to 0.4 by its longest delay, so cancels came after 0.16 s at most instead of 0.4 s, and crossing ones after 8 ms instead of 20.

parse_ipv4_address wrote the check of parse_address again; it calls it now, and adds only IPv4 and ASCII. The limit of reasons had a twin in http_platform and stood as a bare 300 in four places; it is one constant, and the constants of text lengths name their unit. The age of the copy of the log is worked out in one place; the race's number of cancels is no field of its own; two tests share one fake actor.

--- a/knapweedshed/codecs/cbor.py
+++ b/knapweedshed/codecs/cbor.py
@@ -2,7 +2,7 @@
 
 import cbor2
 
-from knapweedshed.codecs.json_text import DECODE_ERRORS, MAX_REASON_LENGTH
+from knapweedshed.codecs.json_text import DECODE_ERRORS, MAX_REASON_CHARS
 from knapweedshed.codecs.plain import from_plain, to_plain
 
 
@@ -20,4 +20,4 @@
     try:
         return from_plain(cbor2.loads(data))
     except (cbor2.CBORDecodeError, *DECODE_ERRORS) as error:
-        raise MessageError(str(error)[:MAX_REASON_LENGTH]) from error
+        raise MessageError(str(error)[:MAX_REASON_CHARS]) from error
--- a/knapweedshed/codecs/json_text.py
+++ b/knapweedshed/codecs/json_text.py
@@ -5,7 +5,7 @@
 
 from knapweedshed.codecs.plain import from_plain, to_plain
 
-MAX_REASON_LENGTH = 300
+MAX_REASON_CHARS = 300
 _BYTES_KEY = "base64"
 
 
@@ -36,7 +36,7 @@
     try:
         return json.loads(text, object_hook=_text_to_bytes)
     except DECODE_ERRORS as error:
-        raise TextError(f"not JSON: {error}"[:MAX_REASON_LENGTH]) from error
+        raise TextError(f"not JSON: {error}"[:MAX_REASON_CHARS]) from error
 
 
 def loads_message(text):
@@ -49,7 +49,7 @@
     try:
         return from_plain(plain)
     except DECODE_ERRORS as error:
-        raise TextError(f"not a known message: {error}"[:MAX_REASON_LENGTH]) from error
+        raise TextError(f"not a known message: {error}"[:MAX_REASON_CHARS]) from error
 
 
 def decode_base64(value):
--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -385,13 +385,15 @@
         self._send_reply(call.call_id, reply)
 
     def _send_reply(self, call_id, reply):
-        age_ms = self._context.clock.now_ms() - self._last_read_ms
-        state = LogState(self._last_offset, age_ms if self._caught_up else -1)
+        age_ms = self._log_age_ms() if self._caught_up else -1
+        state = LogState(self._last_offset, age_ms)
         tell(self._calls, CallAnswered(call_id, reply._replace(log_state=state)))
 
     def _is_log_fresh(self):
-        age_ms = self._context.clock.now_ms() - self._last_read_ms
-        return self._caught_up and age_ms < LOG_FRESHNESS_MS
+        return self._caught_up and self._log_age_ms() < LOG_FRESHNESS_MS
+
+    def _log_age_ms(self):
+        return self._context.clock.now_ms() - self._last_read_ms
 
     def _not_appended_reply(self, job_id):
         """Return the reply to a submission that is not appended."""
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -534,7 +534,7 @@
             extra={
                 "record": type(record).__name__,
                 "reason": reason,
-                "content": str(record)[:300],
+                "content": str(record)[: json_text.MAX_REASON_CHARS],
             },
         )
         if isinstance(record, RunsLaunched) and self._dispatcher is not None:
--- a/knapweedshed/controllers/work_stream.py
+++ b/knapweedshed/controllers/work_stream.py
@@ -43,7 +43,10 @@
         except json_text.DECODE_ERRORS as error:
             context.logger.error(
                 "record unreadable",
-                extra={"offset": stored.offset, "reason": str(error)[:300]},
+                extra={
+                    "offset": stored.offset,
+                    "reason": str(error)[: json_text.MAX_REASON_CHARS],
+                },
             )
             continue
         yield AppliedRecord(stored.record_id, record, changed)
--- a/knapweedshed/links/hosts.py
+++ b/knapweedshed/links/hosts.py
@@ -7,7 +7,7 @@
 from knapweedshed.models.outcomes import FAILURE_TYPES
 
 HOST_LIST_PERIOD_MS = 2_000
-MAX_LOGGED_ENTRIES = 5
+MAX_LOGGED_COUNT = 5
 
 
 class HostsLink(Actor):
@@ -44,6 +44,6 @@
             self._unreadable = listing.unreadable
             self._context.logger.warning(
                 "host entries unreadable",
-                extra={"reasons": listing.unreadable[:MAX_LOGGED_ENTRIES]},
+                extra={"reasons": listing.unreadable[:MAX_LOGGED_COUNT]},
             )
         tell(self._receiver, HostsListed(listing.hosts))
--- a/knapweedshed/links/http_platform.py
+++ b/knapweedshed/links/http_platform.py
@@ -24,7 +24,6 @@
 from knapweedshed.models.workers import Host, HostListing, HostState
 from knapweedshed.settings import parse_address
 
-MAX_REASON_LENGTH = 300
 MAX_COUNT_DIGITS = 10
 MAX_SLOTS_COUNT = 1_000_000
 LOG_APPEND_TIMEOUT_MS = 2_000
@@ -234,7 +233,7 @@
     try:
         return convert(json_text.loads(response.body))
     except json_text.DECODE_ERRORS as error:
-        return NoAnswer(f"unreadable answer: {error}"[:MAX_REASON_LENGTH])
+        return NoAnswer(f"unreadable answer: {error}"[: json_text.MAX_REASON_CHARS])
 
 
 def _decode_page(fields):
@@ -249,7 +248,7 @@
         try:
             hosts.append(_decode_host(item))
         except json_text.DECODE_ERRORS as error:
-            unreadable.append(f"{item!r}: {error!r}"[:MAX_REASON_LENGTH])
+            unreadable.append(f"{item!r}: {error!r}"[: json_text.MAX_REASON_CHARS])
     return HostListing(tuple(hosts), tuple(unreadable))
 
 
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -22,7 +22,7 @@
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
 MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
-MAX_WORKER_ID_LENGTH = 200
+MAX_WORKER_ID_CHARS = 200
 MAX_UNREADABLE_COUNT = 1_000  # keys whose last reason is remembered
 WORKER_STATES = ("ready", "draining")
 
@@ -99,7 +99,8 @@
             return decode_configuration(json_text.loads(value))
         except DECODE_ERRORS as error:
             self._logger.error(
-                "configuration unreadable", extra={"reason": repr(error)[:300]}
+                "configuration unreadable",
+                extra={"reason": repr(error)[: json_text.MAX_REASON_CHARS]},
             )
             return None
 
@@ -141,7 +142,7 @@
         try:
             entry = decode_worker(key, json_text.loads(value))
         except DECODE_ERRORS as error:
-            self._log_unreadable(key, repr(error)[:300])
+            self._log_unreadable(key, repr(error)[: json_text.MAX_REASON_CHARS])
             return None
         self._unreadable.pop(key, None)
         return entry
@@ -154,7 +155,7 @@
             self._unreadable.clear()
         self._unreadable[key] = reason
         self._logger.warning(
-            "worker entry unreadable", extra={"worker": key[:300], "reason": reason}
+            "worker entry unreadable", extra={"worker": key, "reason": reason}
         )
 
 
@@ -200,8 +201,8 @@
         raise ValueError(f"unknown worker state {fields['state']!r}"[:100])
     if not (worker_id.isascii() and worker_id.isprintable()) or " " in worker_id:
         raise ValueError("expected an id of printable ASCII characters")
-    if not 0 < len(worker_id) <= MAX_WORKER_ID_LENGTH:
-        raise ValueError(f"expected an id of {MAX_WORKER_ID_LENGTH} characters at most")
+    if not 0 < len(worker_id) <= MAX_WORKER_ID_CHARS:
+        raise ValueError(f"expected an id of {MAX_WORKER_ID_CHARS} characters at most")
     labels = fields["labels"]
     if not isinstance(labels, list):
         raise TypeError("expected a list of labels")
--- a/knapweedshed/platform/fields.py
+++ b/knapweedshed/platform/fields.py
@@ -6,9 +6,10 @@
 import ipaddress
 import math
 
+from knapweedshed.settings import parse_address
+
 MAX_NUMBER = 1 << 53  # exact as a float; milliseconds until far beyond any clock
-MAX_TEXT_LENGTH = 2_000
-MAX_PORT = 65_535
+MAX_TEXT_CHARS = 2_000
 
 
 def parse_whole_number(value):
@@ -30,7 +31,7 @@
 
 
 def parse_text(value):
-    """Return printable text of `MAX_TEXT_LENGTH` characters at most.
+    """Return printable text of `MAX_TEXT_CHARS` characters at most.
 
     Raises TypeError or ValueError. Surrogates aren't printable: text that passes can be
     encoded.
@@ -41,21 +42,21 @@
 
 
 def parse_opaque_text(value):
-    """Return any text of `MAX_TEXT_LENGTH` characters at most, to be given back.
+    """Return any text of `MAX_TEXT_CHARS` characters at most, to be given back.
 
     Raises TypeError or ValueError.
     """
     if not isinstance(value, str):
         raise TypeError(f"expected text, got {type(value).__name__}")
-    if len(value) > MAX_TEXT_LENGTH:
-        raise ValueError(f"expected {MAX_TEXT_LENGTH} characters at most")
+    if len(value) > MAX_TEXT_CHARS:
+        raise ValueError(f"expected {MAX_TEXT_CHARS} characters at most")
     return value
 
 
 def parse_ipv4_address(value):
     """Return `ip:port` with an IPv4 address; raises TypeError or ValueError."""
-    host, _, port = parse_text(value).rpartition(":")
+    if not parse_text(value).isascii():
+        raise ValueError("expected an address in ASCII")
+    host, _ = parse_address(value)
     ipaddress.IPv4Address(host)
-    if not (port.isascii() and port.isdigit()) or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"expected a port from 1 to {MAX_PORT}")
     return value
--- a/tests/cancel_race.py
+++ b/tests/cancel_race.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import time
+from collections import Counter
 from typing import NamedTuple
 
 from tests.fleet_standin import FakeStore
@@ -40,7 +41,6 @@
     started a task later than allowed, with the answer to their cancel.
     """
 
-    cancels: int
     statuses: dict[int, int]
     late_jobs: dict[str, int]
     broken: tuple[str, ...]
@@ -92,11 +92,7 @@
         """
         rng = random.Random(seed)
         plans = [
-            (
-                f"{rng.getrandbits(64):016x}",
-                rng.sample(self._hosts, 2),
-                rng.uniform(0, 0.4),
-            )
+            (f"{rng.getrandbits(64):016x}", rng.sample(self._hosts, 2), rng.random())
             for _ in range(jobs)
         ]
         stopped = threading.Event()
@@ -110,16 +106,13 @@
         if kills:
             stopped.set()
             killer.join()
-        counts = {}
-        for status in statuses.values():
-            counts[status] = counts.get(status, 0) + 1
         broken = tuple(self._workers.broken)
         late_jobs = {
             job_id: status
             for job_id, status in statuses.items()
             if any(job_id in text for text in broken)
         }
-        return RaceReport(len(statuses), counts, late_jobs, broken)
+        return RaceReport(Counter(statuses.values()), late_jobs, broken)
 
     def _kill_hosts(self, stopped):
         for host in itertools.cycle(self._hosts):
@@ -154,7 +147,10 @@
         return status
 
     def _cancel_soon(self, job_id, hosts, delay):
-        """Cancel at another host than the one that has accepted the job."""
+        """Cancel at another host than the one that has accepted the job.
+
+        `delay` is a share of the longest delay.
+        """
         accepting, other = hosts
         if self._submit(accepting, job_id) != 200:
             return job_id, 0
--- a/tests/test_jobs_controller.py
+++ b/tests/test_jobs_controller.py
@@ -18,20 +18,11 @@
 from knapweedshed.models.work_records import WORK_STREAM, WorkAccepted
 from knapweedshed.results import ResultCode
 from tests.dispatch_harness import make_job
+from tests.scheduling_harness import FakeActorRef
 
 JOB_ID = "a" * 16
 
 
-class FakeActorRef:
-    """Records the messages sent to an actor."""
-
-    def __init__(self):
-        self.messages = []
-
-    def tell(self, message):
-        self.messages.append(message)
-
-
 class StateQueryTest(unittest.TestCase):
     """A query for the state of a job that another host has just accepted."""
 
