Keep launches whose append may be written, and give no run number out twice

Cause: the acting host appended a launch (run 1 on A), got no answer, repeated it, and took the refusal of the repetition (429) for proof that nothing was written. It planned the unit anew under the same number, run 1 on B. The first append was executed late, so the log named run 1 on A first and ignored the second record. `confirm_launches` compared the run number alone and started B.

Ruled out: the store's stand-in (its record lists the appends in that order), the fences and the leases (no order of an older epoch was carried out), the hand-over (it only shows the fault).

Change: - `decisions/launch_appends.py` has the rule for a failed append of launches: a refusal tells about one copy. Their workers stay taken meanwhile. A rejection for good after a lost answer gives them up too, so that the parts of a record are never taken for not written. - A launch that is given up uses up its run number. - A run starts only if the log names it as the unit's latest launch, at the same workers, which is where a successor looks for it. - One log line for each failed append of launches, with the verdict and its age; the counters launches.not_written, .rejected, .repeat and .give_up.

Looked at beside it: submissions and cancels (`decisions/acceptance.py`) had the rule already. Ends keep their units back until an end is read back, whatever becomes of a copy. The ledger and the submissions of the own interface append until acknowledged, or report "unknown". The configuration's publisher appends once. No connection or HTTP client below them repeats a request.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -2,6 +2,8 @@
 
 from knapweedshed.decisions.units import critical_path_ms
 
+MAX_JOBS = 20  # ids in one line
+
 
 class DecisionLog:
     """Writes one log line for each decision; used by the scheduling controller only."""
@@ -24,6 +26,20 @@
                 },
             )
 
+    def log_failed_launches(self, launches, verdict, reason, age_ms):
+        """Log launches whose append failed, and what that means for them."""
+        self._context.metrics.count(f"launches.{verdict.name.lower()}")
+        self._logger.warning(
+            "launches not appended",
+            extra={
+                "jobs": sorted({launch.unit.job_id for launch in launches})[:MAX_JOBS],
+                "launches": len(launches),
+                "verdict": str(verdict),
+                "reason": reason,
+                "age_ms": age_ms,
+            },
+        )
+
     def log_order_not_done(self, order, outcome):
         """Log an order that was refused, not answered or not sent."""
         self._logger.info(
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -34,6 +34,11 @@
 )
 from knapweedshed.controllers.work_stream import apply_records, encode_in_parts
 from knapweedshed.decisions.dispatch import Dispatcher
+from knapweedshed.decisions.launch_appends import (
+    LaunchVerdict,
+    PendingAppend,
+    after_failure,
+)
 from knapweedshed.decisions.leadership import (
     HEARTBEAT_PERIOD_MS,
     MAX_ACTING_WITHOUT_LOG_MS,
@@ -262,22 +267,32 @@
 
     @receive.register
     def handle_append_failure(self, message: AppendFailed):
-        """Retry launches that may have been written; undo those that were not."""
-        record = self._pending_appends.get(message.record_id)
-        if record is None:
-            return
-        if message.final:
-            del self._pending_appends[message.record_id]
-            self._handle_rejected_record(record, message.reason)
+        """Settle launches by their verdict; drop or split any other record.
+
+        Whoever decided on the other records decides on them again.
+        """
+        pending = self._pending_appends.get(message.record_id)
+        if pending is None:
             return
-        self._launches_paused_until_ms = self._now_ms() + LOG_RETRY_DELAY_MS
-        if isinstance(record, RunsLaunched) and message.unknown:
-            again = self._create_append(message.record_id, json_text.dumps(record))
-            self._timer.after(LOG_RETRY_DELAY_MS, self._appender, again)
+        now_ms = self._now_ms()
+        if not message.final:
+            self._launches_paused_until_ms = now_ms + LOG_RETRY_DELAY_MS
+        if isinstance(pending.record, RunsLaunched):
+            pending, verdict = after_failure(
+                pending, message.unknown, message.final, now_ms
+            )
+            self._pending_appends[message.record_id] = pending
+            self._decision_log.log_failed_launches(
+                pending.record.launches,
+                verdict,
+                message.reason,
+                now_ms - pending.sent_ms,
+            )
+            self._settle_launches(message, verdict)
             return
         del self._pending_appends[message.record_id]
-        if isinstance(record, RunsLaunched) and self._dispatcher is not None:
-            self._dispatcher.discard_launches(record.launches)
+        if message.final:
+            self._handle_rejected_record(pending.record, message.reason)
 
     @receive.register
     def tick(self, message: Tick):
@@ -507,13 +522,30 @@
             if speeds:
                 self._append_record(SpeedsLearned(self._ledger.epoch, speeds))
 
+    def _settle_launches(self, message, verdict):
+        """Repeat, undo, split or give up launches whose append has failed."""
+        record = self._pending_appends[message.record_id].record
+        if verdict == LaunchVerdict.REPEAT:
+            again = self._create_append(message.record_id, json_text.dumps(record))
+            self._timer.after(LOG_RETRY_DELAY_MS, self._appender, again)
+            return
+        del self._pending_appends[message.record_id]
+        if verdict == LaunchVerdict.REJECTED:
+            self._handle_rejected_record(record, message.reason)
+        elif self._dispatcher is None:
+            return
+        elif verdict == LaunchVerdict.NOT_WRITTEN:
+            self._dispatcher.discard_launches(record.launches)
+        else:
+            self._dispatcher.give_up_launches(record.launches)
+
     def _append_record(self, record):
         for part, text in encode_in_parts(record, self._max_record_bytes):
             if text is None:
                 self._give_up_record(part, "it is larger than the log's records")
                 continue
             record_id = self._context.new_id()
-            self._pending_appends[record_id] = part
+            self._pending_appends[record_id] = PendingAppend(part, self._now_ms())
             tell(self._appender, self._create_append(record_id, text))
 
     def _create_append(self, record_id, text):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -103,6 +103,7 @@
         self._waiting_since_ms = {}
         self._preemption_claims = PreemptionClaims()
         self._postponed_units = {}
+        self._given_up_runs = {}
 
     @property
     def capacity_changed(self):
@@ -251,9 +252,13 @@
         orders = []
         with_unrecorded_end = self._units_with_unrecorded_ends()
         for launched in launches:
-            unit_run = self._unit_runs.get(launched.unit)
-            if unit_run is None or unit_run.run != launched.run or unit_run.launched:
+            unit_run = self._pending_run(launched)
+            if unit_run is None:
                 continue
+            if not self._is_latest_launch(launched):
+                self._discard_unit_run(launched.unit)
+                continue
+            self._given_up_runs.pop(launched.unit, None)
             is_outdated = self._is_outdated(unit_run, launched, now_ms)
             self._unit_runs[launched.unit] = unit_run._replace(
                 launched=True, started_ms=now_ms
@@ -285,14 +290,24 @@
     def discard_launches(self, launches):
         """Drop launches that were certainly not written, and so never started."""
         for launched in launches:
-            unit_run = self._unit_runs.get(launched.unit)
-            if (
-                unit_run is not None
-                and unit_run.run == launched.run
-                and not unit_run.launched
-            ):
+            if self._pending_run(launched) is not None:
                 self._discard_unit_run(launched.unit)
 
+    def give_up_launches(self, launches):
+        """Drop launches that may be in the log, and were never started.
+
+        Their run numbers are not used again: a late record of one would name other
+        workers than the run that is under way.
+        """
+        self._given_up_runs = {
+            unit: run
+            for unit, run in self._given_up_runs.items()
+            if unit.job_id in self._ledger.open_jobs
+        }
+        for launched in launches:
+            self._given_up_runs[launched.unit] = launched.run
+        self.discard_launches(launches)
+
     def tick(self, now_ms):
         """Update speeds, expire leases, repeat orders and records; return actions."""
         actions = []
@@ -412,7 +427,7 @@
         progress = self._ledger.jobs[unit.job_id]
         step = step_of(progress.job, unit)
         previous = progress.launched.get(unit)
-        run = previous.run + 1 if previous else 1
+        run = 1 + max(previous.run if previous else 0, self._given_up_runs.get(unit, 0))
         workers_by_task = {}
         for task, worker_id in zip(tasks_of_unit(unit, step), worker_ids, strict=True):
             self._workers[worker_id].assigned_runs[task, run] = AssignedRun(
@@ -494,6 +509,21 @@
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
 
+    def _pending_run(self, launched):
+        """Return the `UnitRun` of a launch that is not read back yet, or None."""
+        unit_run = self._unit_runs.get(launched.unit)
+        if unit_run is None or unit_run.launched or unit_run.run != launched.run:
+            return None
+        worker_ids = tuple(worker_id for worker_id, _ in launched.workers)
+        return unit_run if worker_ids == unit_run.workers else None
+
+    def _is_latest_launch(self, launched):
+        """Return whether a successor would look for the unit's run at this launch."""
+        progress = self._ledger.jobs.get(launched.unit.job_id)
+        return progress is not None and (
+            progress.launched.get(launched.unit) == launched
+        )
+
     def _is_outdated(self, unit_run, launched, now_ms):
         """Return whether a launch is on workers that may not take it any more."""
         workers = []
--- /dev/null
+++ b/tests/test_late_appends.py
@@ -0,0 +1,151 @@
+"""Launches whose append got no answer, and the numbers of their runs.
+
+Guards against TWICE: a launch that the log took late was planned again under the same
+run number, elsewhere. After a hand-over the task was started beside its run.
+"""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedshed.controllers.messages import AppendFailed, AppendRecord
+from knapweedshed.controllers.work_messages import OrderRequest, WorkersListed
+from knapweedshed.decisions.launch_appends import (
+    MAX_LATE_APPEND_MS,
+    LaunchVerdict,
+    PendingAppend,
+    after_failure,
+)
+from knapweedshed.models.dispatch_actions import RecordLaunches, StartRun
+from knapweedshed.models.work_records import RunsLaunched
+from tests.dispatch_harness import DispatchHarness, make_job
+from tests.scheduling_harness import SchedulingHarness
+from tests.test_record_sizes import launches_of
+
+
+class FailureVerdictTest(unittest.TestCase):
+    """What a failed append means, after any earlier failures of the same record."""
+
+    @given(st.lists(st.tuples(st.booleans(), st.booleans()), min_size=1))
+    @settings(derandomize=True)
+    def test_record_that_may_be_written_is_never_taken_for_not_written(self, failures):
+        pending = PendingAppend("record", 0)
+        for index, (unknown, is_final) in enumerate(failures):
+            pending, verdict = after_failure(pending, unknown, is_final, index)
+        maybe_written = any(unknown for unknown, _ in failures)
+        undone = verdict in (LaunchVerdict.NOT_WRITTEN, LaunchVerdict.REJECTED)
+        self.assertEqual(undone, not maybe_written)
+
+    def test_wait_for_a_late_copy_ends(self):
+        pending = PendingAppend("record", 0, maybe_written=True)
+        before, after = MAX_LATE_APPEND_MS - 1, MAX_LATE_APPEND_MS
+        verdicts = [
+            after_failure(pending, True, False, ms)[1] for ms in (before, after)
+        ]
+        self.assertEqual(verdicts, [LaunchVerdict.REPEAT, LaunchVerdict.GIVE_UP])
+
+
+class UnansweredLaunchTest(unittest.TestCase):
+    """The append of a launch gets no answer; its repetition is refused."""
+
+    def setUp(self):
+        self.harness = SchedulingHarness()
+        self.harness.accept(make_job())
+        (self.record,) = self.harness.plan()
+
+    def _fail(self, unknown=False, final=False, after_ms=0):
+        self.harness.clock.advance(after_ms)
+        failure = AppendFailed(self.record.record_id, unknown, "a reason", final)
+        self.harness.controller.receive(failure)
+
+    def _give_up(self):
+        self._fail(unknown=True)
+        self._fail(after_ms=MAX_LATE_APPEND_MS)
+
+    def _plan(self, after_ms=400):
+        """Return the launches of the next plan, by workers that are in touch."""
+        self.harness.clock.advance(after_ms)
+        self.harness.controller.receive(WorkersListed(self.harness.entries))
+        for entry in self.harness.entries:
+            self.harness.answer_hold(entry.worker_id)
+        return self.harness.plan()
+
+    def _started(self):
+        orders = self.harness.connections.take(OrderRequest)
+        return [item.order for item in orders if isinstance(item.order, StartRun)]
+
+    def test_refused_repetition_does_not_undo_a_launch(self):
+        self._fail(unknown=True)
+        self._fail()
+        self.assertEqual(launches_of(self._plan()), [])
+        self.harness.read([self.record])
+        (launched,) = launches_of([self.record])
+        (order,) = self._started()
+        self.assertEqual((order.worker_id, order.run), (launched.workers[0][0], 1))
+
+    def test_launch_that_is_certainly_not_written_is_planned_again(self):
+        self._fail()
+        (launched,) = launches_of(self._plan())
+        self.assertEqual(launched.run, 1)
+
+    def test_run_number_of_a_launch_that_is_given_up_is_not_used_again(self):
+        self._give_up()
+        (record,) = self._plan()
+        (launched,) = launches_of([record])
+        self.assertEqual(launched.run, 2)
+        self.harness.read([self.record])
+        self.assertEqual(self._started(), [])
+        self.harness.read([record])
+        self.assertEqual([order.run for order in self._started()], [2])
+
+    def test_rejection_after_a_lost_answer_uses_up_the_run_number(self):
+        self._fail(unknown=True)
+        self._fail(final=True)
+        self.assertEqual(self.harness.appender.take(AppendRecord), [])
+        (launched,) = launches_of(self._plan())
+        self.assertEqual(launched.run, 2)
+
+    def test_run_number_stays_used_up_after_a_launch_that_was_refused(self):
+        self._give_up()
+        (self.record,) = self._plan()
+        self._fail()
+        (launched,) = launches_of(self._plan())
+        self.assertEqual(launched.run, 2)
+
+
+class LaunchElsewhereTest(unittest.TestCase):
+    """A record names the run number of a pending launch, but other workers."""
+
+    def setUp(self):
+        self.harness = DispatchHarness(workers=2)
+        self.harness.start_term()
+        self.harness.accept(make_job())
+        now_ms = self.harness.now_ms
+        (action,) = self.harness.dispatcher.plan(now_ms, now_ms)
+        self.assertIsInstance(action, RecordLaunches)
+        (self.launched,) = action.launches
+        ((worker_id, incarnation),) = self.launched.workers
+        other_id = "w1" if worker_id == "w0" else "w0"
+        self.elsewhere = self.launched._replace(workers=((other_id, incarnation),))
+
+    def _read_back(self, launched):
+        self.harness.append_record(RunsLaunched(self.harness.epoch, (launched,)))
+        self.harness.apply_actions(
+            self.harness.dispatcher.confirm_launches((launched,), self.harness.now_ms)
+        )
+
+    def test_record_with_other_workers_does_not_confirm_a_launch(self):
+        self._read_back(self.elsewhere)
+        self.assertEqual(self.harness.started, [])
+
+    def test_run_that_a_successor_would_look_for_elsewhere_does_not_start(self):
+        self._read_back(self.elsewhere)
+        self._read_back(self.launched)
+        self.assertEqual(self.harness.started, [])
+        self.harness.hold_all()
+        self.assertEqual([order.run for order in self.harness.started], [2])
+
+
+if __name__ == "__main__":
+    unittest.main()
