Start a unit only once the end of a run found without a record is known

Cause: `_stop_unassigned_run` counts such a run against its worker's capacity, but its unit stayed among the waiting ones.

Change: a unit with such a run is not planned before the run's end is listed, its worker has started anew, or its lease is over. Each such run has a log line and a counter (runs.unrecorded); it was stopped without a trace in the logs before.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -40,6 +40,19 @@
             },
         )
 
+    def log_found_run(self, worker_id, task, run):
+        """Log a run that a worker lists and that no launch record names."""
+        self._context.metrics.count("runs.unrecorded")
+        self._logger.warning(
+            "run without a record",
+            extra={
+                "job": task.job_id,
+                "task": list(task[1:]),
+                "run": run,
+                "worker": worker_id,
+            },
+        )
+
     def log_order_not_done(self, order, outcome):
         """Log an order that was refused, not answered or not sent."""
         self._logger.info(
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -230,6 +230,8 @@
         actions = self._dispatcher.handle_hold_answer(
             message.worker_id, answer, message.sent_ms, now_ms
         )
+        for found_run in self._dispatcher.take_found_runs():
+            self._decision_log.log_found_run(*found_run)
         self._execute_actions(actions)
         self._execute_actions(self._dispatcher.take_end_records(now_ms))
         self._hold_worker(message.worker_id)
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -104,6 +104,8 @@
         self._preemption_claims = PreemptionClaims()
         self._postponed_units = {}
         self._given_up_runs = {}
+        self._unassigned_runs = set()
+        self._found_runs = []
 
     @property
     def capacity_changed(self):
@@ -333,6 +335,11 @@
                 actions.extend(self._retry_order(worker, key, assigned_run, now_ms))
         return actions
 
+    def take_found_runs(self):
+        """Return (worker id, task, run) of each new run that has no record."""
+        found_runs, self._found_runs = self._found_runs, []
+        return found_runs
+
     def take_speed_report(self, now_ms):
         """Return the speeds to write to the log for a successor; mark them reported."""
         return self._speeds.take_report(now_ms, self._workers)
@@ -346,12 +353,12 @@
         self._capacity_changed = False
         if self._configuration is None or not self._is_list_recent(now_ms):
             return []
-        with_unrecorded_end = self._units_with_unrecorded_ends()
+        unsettled = self._units_with_unrecorded_ends() | self._units_found_running()
         waiting_units = [
             unit
             for unit in ready_units(self._ledger, wall_ms + self._limits.early_ms // 2)
             if unit not in self._unit_runs
-            and unit not in with_unrecorded_end
+            and unit not in unsettled
             and now_ms >= self._postponed_units.get(unit, now_ms)
         ]
         self._waiting_since_ms = {
@@ -542,6 +549,20 @@
         """Return the units with an end that a worker listed and the log lacks."""
         return {self._unit_of(task) for task in self._unrecorded_ends.tasks()}
 
+    def _units_found_running(self):
+        """Return the units with a run that has no record and may still exist."""
+        self._unassigned_runs = {
+            (worker_id, key)
+            for worker_id, key in self._unassigned_runs
+            if worker_id in self._workers
+            and key in self._workers[worker_id].assigned_runs
+        }
+        return {
+            self._unit_of(task)
+            for _, (task, _) in self._unassigned_runs
+            if self._ledger.has_task(task)
+        }
+
     def _is_over(self, unit):
         """Return whether a unit is recorded as done, or its job has ended."""
         progress = self._ledger.jobs[unit.job_id]
@@ -655,7 +676,10 @@
         return self._stop_assigned_run(worker, key, now_ms)
 
     def _stop_unassigned_run(self, worker, listed, now_ms):
-        """Stop a run without a launch record of this scheduler or a predecessor."""
+        """Stop a run without a launch record of this scheduler or a predecessor.
+
+        Its unit does not start again before the run's end is listed or its lease over.
+        """
         progress = self._ledger.jobs.get(listed.task.job_id)
         need = Resources()
         if progress is not None and listed.task.step < len(progress.job.steps):
@@ -669,6 +693,8 @@
             now_ms,
             ordered_ms=now_ms,
         )
+        self._unassigned_runs.add((worker.worker_id, (listed.task, listed.run)))
+        self._found_runs.append((worker.worker_id, listed.task, listed.run))
         return StopRun(worker.worker_id, listed.task, listed.run)
 
 
--- a/tests/test_late_appends.py
+++ b/tests/test_late_appends.py
@@ -1,4 +1,4 @@
-"""Launches whose append got no answer, and the numbers of their runs.
+"""Launches whose append got no answer, and runs that no launch record names.
 
 Guards against TWICE: a launch that the log took late was planned again under the same
 run number, elsewhere. After a hand-over the task was started beside its run.
@@ -18,11 +18,15 @@
     after_failure,
 )
 from knapweedshed.models.dispatch_actions import RecordLaunches, StartRun
+from knapweedshed.models.work import Task, TaskRun
 from knapweedshed.models.work_records import RunsLaunched
-from tests.dispatch_harness import DispatchHarness, make_job
+from tests.dispatch_harness import DispatchHarness, make_job, make_step
 from tests.scheduling_harness import SchedulingHarness
 from tests.test_record_sizes import launches_of
 
+LEASE_MS = 6_000  # of the harness
+JOB_ID = "a" * 16
+
 
 class FailureVerdictTest(unittest.TestCase):
     """What a failed append means, after any earlier failures of the same record."""
@@ -147,5 +151,47 @@
         self.assertEqual([order.run for order in self.harness.started], [2])
 
 
+class RunWithoutRecordTest(unittest.TestCase):
+    """A successor finds a run of a waiting unit that no launch record names."""
+
+    def setUp(self):
+        self.harness = DispatchHarness(workers=3)
+        self.task = Task(JOB_ID, 0, 0, 0)
+
+    def _take_over(self, gang=False):
+        self.harness.accept(make_job(steps=(make_step(1 + gang, gang=gang),)))
+        self.harness.running["w2"][self.task] = TaskRun(self.task, 1, "", 10)
+        self.harness.lossy = {"w2"}
+        self.harness.start_term()
+
+    def test_unit_does_not_start_while_its_run_is_being_stopped(self):
+        # TWICE: 4 of 6 tasks ran twice for as long as a stop takes.
+        self._take_over()
+        self.harness.hold_all()
+        self.assertEqual(len(self.harness.stopped), 1)
+        self.assertEqual(self.harness.started, [])
+
+    def test_gang_does_not_start_while_a_member_is_being_stopped(self):
+        self._take_over(gang=True)
+        self.harness.hold_all()
+        self.assertEqual(self.harness.started, [])
+
+    def test_unit_starts_once_the_end_is_listed(self):
+        self._take_over()
+        self.harness.end("w2", self.task, "stopped")
+        self.harness.hold_all()
+        self.assertEqual(len(self.harness.started), 1)
+
+    def test_unit_starts_once_the_lease_is_over(self):
+        self._take_over()
+        self.harness.unreachable = {"w2"}
+        self.harness.pass_time(LEASE_MS - 1_000)
+        self.harness.hold_all()
+        self.assertEqual(self.harness.started, [])
+        self.harness.pass_time(2_000)
+        self.harness.hold_all()
+        self.assertEqual(len(self.harness.started), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
