Tests: hosts whose store executes appends late, between refusals

The stand-in of the store can answer an append without storing it, and store it seconds later; the soak has a fault for it (late 30%, refused 35%, never 15% of the appends, for 1 to 4 s).

Two tests with real hosts guard the hand-over: single tasks and a SIGTERM, a gang and a SIGKILL.

--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -11,6 +11,7 @@
 import struct
 import threading
 import time
+from typing import NamedTuple
 
 from knapweedshed.links.http_server import HttpResponse, HttpServer
 
@@ -39,12 +40,24 @@
     return HttpResponse(status, json.dumps(value).encode())
 
 
+class AppendFault(NamedTuple):
+    """An append that isn't stored at once: it is answered with `status`.
+
+    With 502 its outcome is unknown. It is stored `stored_after_s` later, or never if
+    that is None.
+    """
+
+    status: int
+    stored_after_s: float | None = None
+
+
 class FakeStore:
     """Stores topics of one partition.
 
     The next `append_responses_to_drop` appends are stored, but answered with status
-    502, as if the response was lost. While `down` is set, every call fails with status
-    503. Answers come up to `max_answer_delay_s` late.
+    502, as if the response was lost. `append_fault`, if set, returns an `AppendFault`
+    for the next append, or None. While `down` is set, every call fails with status 503.
+    Answers come up to `max_answer_delay_s` late.
     """
 
     def __init__(self, port):
@@ -52,6 +65,7 @@
         self.topics = {}
         self.first_offsets = {}
         self.append_responses_to_drop = 0
+        self.append_fault = None
         self.down = False
         self.max_answer_delay_s = 0.0
         self._changed = threading.Condition()
@@ -102,6 +116,15 @@
                 return json_response(400, {"error": "a record is too large"})
             records.append(body[position + 4 : position + 4 + length])
             position += 4 + length
+        fault = self.append_fault and self.append_fault()
+        if fault:
+            if fault.stored_after_s is not None:
+                timer = threading.Timer(
+                    fault.stored_after_s, self._append_records, (topic, records)
+                )
+                timer.daemon = True
+                timer.start()
+            return json_response(fault.status, {"error": "the append has failed"})
         first_offset, end = self._append_records(topic, records)
         if self.append_responses_to_drop:
             self.append_responses_to_drop -= 1
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,7 +21,7 @@
 import urllib3
 import yaml
 
-from tests.fleet_standin import FakeStore
+from tests.fleet_standin import AppendFault, FakeStore
 from tests.ports import server_ports
 from tests.proxy import Fault, Proxy
 from tests.soak_workers import SoakWorkers, now_ms
@@ -40,6 +40,10 @@
 CRASH_S = 0.05
 MAX_CROSSING_S = 0.1
 IMPORT_TIME_S = 5  # a signal that arrives earlier may end the interpreter itself
+LATE_APPEND_S = (1.0, 6.0)
+LATE_APPEND_SHARE = 0.3
+REFUSED_APPEND_SHARE = 0.35
+UNANSWERED_APPEND_SHARE = 0.15
 NOT_ACCEPTED = (429, 503)
 ACKNOWLEDGED_CANCEL = (200, 410)
 _HTTP = urllib3.PoolManager(maxsize=64)  # callers at one host at the same time
@@ -209,6 +213,7 @@
             self._silence_connections,
             self._take_store_down,
             self._lose_appends,
+            self._delay_and_refuse_appends,
             self._cut_worker,
             self._restart_worker,
             self._leave_orders_unanswered,
@@ -294,6 +299,24 @@
     def _lose_appends(self):
         self._store.append_responses_to_drop += self._random.randint(1, 4)
 
+    def _delay_and_refuse_appends(self):
+        """Let the store execute some appends late, or never, and refuse others."""
+        rng = random.Random(self._random.random())
+
+        def choose_fault():
+            draw = rng.random()
+            if draw < LATE_APPEND_SHARE:
+                return AppendFault(502, rng.uniform(*LATE_APPEND_S))
+            if draw < LATE_APPEND_SHARE + REFUSED_APPEND_SHARE:
+                return AppendFault(rng.choice((429, 503)))
+            return AppendFault(502) if draw > 1 - UNANSWERED_APPEND_SHARE else None
+
+        self._store.append_fault = choose_fault
+        self._restore_later(
+            self._random.uniform(1.0, 4.0),
+            lambda: setattr(self._store, "append_fault", None),
+        )
+
     def _restart_worker(self):
         """Crash a worker, which ends its connections, and start it again."""
         name = self._random.choice(sorted(self._worker_ports))
--- a/tests/test_late_appends.py
+++ b/tests/test_late_appends.py
@@ -4,6 +4,8 @@
 run number, elsewhere. After a hand-over the task was started beside its run.
 """
 
+import signal
+import time
 import unittest
 
 from hypothesis import given, settings
@@ -21,10 +23,22 @@
 from knapweedshed.models.work import Task, TaskRun
 from knapweedshed.models.work_records import RunsLaunched
 from tests.dispatch_harness import DispatchHarness, make_job, make_step
+from tests.fleet_standin import AppendFault
+from tests.host_harness import HostTestCase, wait_until
 from tests.scheduling_harness import SchedulingHarness
+from tests.test_fleet_platform import CONFIGURATION
 from tests.test_record_sizes import launches_of
 
 LEASE_MS = 6_000  # of the harness
+WHOLE_WORKER = {"cpu": 60_000, "mem_mb": 1_000, "gpu": 8}
+# Seconds from when the sweep is due. Hosts launch jobs a little before that.
+EARLY_S = 0.4
+UNANSWERED_UNTIL_S = 0.8
+URGENT_DUE_S = 1.0
+REFUSED_UNTIL_S = 2.2
+UNANSWERED_AGAIN_UNTIL_S = 3.0
+LATE_S = 2.8
+HAND_OVER_S = 6.0
 JOB_ID = "a" * 16
 
 
@@ -193,5 +207,67 @@
         self.assertEqual(len(self.harness.started), 1)
 
 
+class LateAppendsHandOverTest(HostTestCase):
+    """Hosts whose store executes appends late, between refusals; one hands over."""
+
+    worker_count = 10
+    configuration = {
+        **CONFIGURATION,
+        "routes": [
+            {**CONFIGURATION["routes"][0], "name": name, "path_prefix": f"/{name}/"}
+            | {"priority": priority}
+            for name, priority in (("sweeps", 1), ("urgent", 0))
+        ],
+    }
+
+    def _due_job(self, host, path, count, due_ms, gang):
+        step = {"count": count, "est_ms": 40_000, "gang": gang, **WHOLE_WORKER}
+        job = {"first_ms": due_ms, "period_ms": 60_000, "repeats": 1}
+        body = {"spec": "text", "steps": [step], **job}
+        self.assertEqual(host.call("POST", path, body)[0], 200)
+
+    def _append_fault(self):
+        passed_s = time.time() - self.due_s
+        if -EARLY_S <= passed_s < UNANSWERED_UNTIL_S:
+            return AppendFault(502, LATE_S - passed_s)
+        if UNANSWERED_UNTIL_S <= passed_s < REFUSED_UNTIL_S:
+            return AppendFault(429)
+        if REFUSED_UNTIL_S <= passed_s < UNANSWERED_AGAIN_UNTIL_S:
+            return AppendFault(502)
+        return None
+
+    def _starts(self):
+        return [start for worker in self.workers for start in worker.starts]
+
+    def _play(self, signal_number, gang):
+        for worker in self.workers:
+            worker.run_s = 60
+        first, second = self.start_host("edge-1"), self.start_host("edge-2")
+        self.due_s = time.time() + 1.5
+        due_ms = int(self.due_s * 1_000)
+        self._due_job(second, f"/sweeps/{'a' * 16}", 5, due_ms, gang)
+        urgent_due_ms = due_ms + int(URGENT_DUE_S * 1_000)
+        self._due_job(second, f"/urgent/{'b' * 16}", 2, urgent_due_ms, False)
+        self.store.append_fault = self._append_fault
+        time.sleep(max(0.0, self.due_s + HAND_OVER_S - time.time()))
+        self.assertEqual(len(self._starts()), 7, first.log() + second.log())
+        acting, other = first, second
+        if '"acting"' in second.log():
+            acting, other = second, first
+        acting.process.send_signal(signal_number)
+        taken_over = wait_until(lambda: '"acting"' in other.log(), 10)
+        self.assertTrue(taken_over, other.log())
+        time.sleep(2)
+        self.assertEqual(len(self._starts()), 7, first.log() + second.log())
+        self.assertEqual({run for _, run in self._starts()}, {1})
+
+    def test_no_task_starts_again_after_a_stop(self):
+        self._play(signal.SIGTERM, gang=False)
+
+    def test_no_gang_starts_again_after_a_kill(self):
+        # All members were thrown away and started anew: 15 runs for 9 tasks.
+        self._play(signal.SIGKILL, gang=True)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -40,9 +40,10 @@
 from knapweedshed.settings import parse_address
 from tests.dispatch_harness import DispatchHarness, make_job
 from tests.fleet_standin import FakeStore, FakeWorker
+from tests.host_harness import HostProcess, wait_until
 from tests.ports import free_port
 from tests.test_fleet_platform import CONFIGURATION
-from tests.test_host_program import JOB_BODY, HostProcess, wait_until
+from tests.test_host_program import JOB_BODY
 from tests.test_malformed import VALUES
 
 JOB_ID = "a" * 16
