--- a/tests/soak.py
+++ b/tests/soak.py
@@ -40,6 +40,7 @@
 CRASH_S = 0.05
 MAX_CROSSING_S = 0.1
 IMPORT_TIME_S = 5  # a signal that arrives earlier may end the interpreter itself
+APPEND_FAULT_SHARE = 0.2  # of the faults, beside them
 LATE_APPEND_S = (1.0, 6.0)
 LATE_APPEND_SHARE = 0.3
 REFUSED_APPEND_SHARE = 0.35
@@ -115,6 +116,7 @@
 
     def __init__(self, seed, folder, hosts=HOST_COUNT, workers=WORKER_COUNT):
         self._random = random.Random(seed)
+        self._append_random = random.Random(f"{seed}/appends")
         self._seed = seed
         self._proxy = Proxy()
         self._ports = server_ports()
@@ -213,7 +215,6 @@
             self._silence_connections,
             self._take_store_down,
             self._lose_appends,
-            self._delay_and_refuse_appends,
             self._cut_worker,
             self._restart_worker,
             self._leave_orders_unanswered,
@@ -222,14 +223,18 @@
             self._revoke_key,
         )
         while time.monotonic() < end_s:
-            fault = self._random.choice(faults)
-            name = fault.__name__.strip("_")
-            self._faults[name] = self._faults.get(name, 0) + 1
-            fault()
+            self._play_fault(self._random.choice(faults))
+            if self._append_random.random() < APPEND_FAULT_SHARE:
+                self._play_fault(self._delay_and_refuse_appends)
             time.sleep(self._random.expovariate(1 / FAULT_PERIOD_S))
             self._restore_due(time.monotonic())
         self._restore_due(float("inf"))
 
+    def _play_fault(self, fault):
+        name = fault.__name__.strip("_")
+        self._faults[name] = self._faults.get(name, 0) + 1
+        fault()
+
     def _restore_later(self, after_s, restore):
         self._restorations.append((time.monotonic() + after_s, restore))
 
@@ -301,7 +306,7 @@
 
     def _delay_and_refuse_appends(self):
         """Let the store execute some appends late, or never, and refuse others."""
-        rng = random.Random(self._random.random())
+        rng = self._append_random
 
         def choose_fault():
             draw = rng.random()
@@ -313,7 +318,7 @@
 
         self._store.append_fault = choose_fault
         self._restore_later(
-            self._random.uniform(1.0, 4.0),
+            rng.uniform(1.0, 4.0),
             lambda: setattr(self._store, "append_fault", None),
         )
 
