Remember with all that it depends on that a unit found no room

Cause: a planning pass remembered "no room" by (step, count, avoids workers) and "no victims" by (step, count, guaranteed, may reclaim). Whether there is room depends on the service, on whose tasks are on the workers (`max_per_server` counts them for each step), on which workers a unit avoids, on the speed asked for; whether there are victims on the allowed cost too. Each pass asks in the same order, so the wrong answer came in each one. The second job then reserved its room in each pass by `reserve`, which doesn't ask the memory, and never started there.

Change: `SearchKey` holds all of that, and is the key of all searches for room, now and after stops, and for victims. A search for room stays failed while capacity shrinks, and is forgotten when a preemption gives some back; one for victims is bound to the version of the capacity. A speed counts as the lowest speed of a worker that reaches it, so that jobs of different age share answers. Units of one step that can only fail like the one before are skipped. A service without room for a single task of a need is remembered by itself. Sorting out units that avoid workers took a square of their number; it takes one pass over them now.

Can reserved room stand idle without an end? A property test says it: while nothing is being stopped, nothing that a plan leaves waiting has room.

Other memories looked at: `_candidates_by_priority` and `_borrowers` (one pass, key complete), `_max_tasks_per_rack` (service, need, label, limit: all that it counts by), the `lru_cache`s of guarantees.py and cells.py (pure functions of their arguments), `unplaceable_shapes` of the baseline planner (places by shape alone), reservations of the own interface's plan (made anew in each pass).

--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -1,8 +1,11 @@
 """Free capacity of the workers, as one planning pass allocates it."""
 
+import math
+from bisect import bisect_left
 from collections import Counter
 from typing import NamedTuple
 
+from knapweedshed.decisions.failed_searches import FailedSearches, SearchKey
 from knapweedshed.decisions.packing import (
     WorkerCapacity,
     count_fitting_tasks,
@@ -55,37 +58,77 @@
             self._free_after_stops[worker_id] = self._free_now[worker_id].plus(
                 worker.stopping_capacity()
             )
+        self._speeds = sorted({traits.speed for traits in self._traits})
         self._resident_tasks = None
+        self._no_room_now = FailedSearches()
+        self._no_room_after_stops = FailedSearches()
+        self._version = 0
+
+    @property
+    def version(self):
+        """Return a number that rises with each change of the capacity."""
+        return self._version
+
+    def search_key(self, waiting, multi_rack, min_speed=0.0):
+        """Return the `SearchKey` of a unit; units of equal keys find the same room."""
+        step = waiting.step
+        avoided = self._avoided_workers.get(waiting.units[0])
+        if avoided:
+            avoided = frozenset(
+                worker_id
+                for worker_id, until_ms in avoided.items()
+                if until_ms > self._now_ms
+            )
+        return SearchKey(
+            waiting.service,
+            step,
+            waiting.count,
+            multi_rack,
+            self._lowest_speed_from(min_speed),
+            avoided or frozenset(),
+            tuple(waiting.units[0][:3]) if step.most_per_worker else (),
+        )
 
     def allocate(self, waiting, multi_rack, min_speed=0.0):
         """Place all tasks of a unit on capacity that is free and not reserved.
 
         Returns the worker ids, or () if the tasks don't all fit.
         """
-        workers = self._worker_capacities(
-            waiting, self._free_now, self._free_after_stops, min_speed
+        key = self.search_key(waiting, multi_rack, min_speed)
+        workers = self._workers_with_room(
+            waiting, key, self._free_now, self._no_room_now
         )
         chosen = place(
             waiting.step, waiting.count, workers, multi_rack, waiting.target_speed
         )
+        if not chosen:
+            self._no_room_now.add(key)
         self._subtract(waiting, chosen, from_free_now=True)
         return chosen
 
     def allocate_up_to(self, waiting, max_count):
         """Place up to `max_count` single tasks of a step; return their worker ids."""
-        workers = self._worker_capacities(
-            waiting, self._free_now, self._free_after_stops
+        key = self.search_key(waiting, False)
+        workers = self._workers_with_room(
+            waiting, key, self._free_now, self._no_room_now
         )
         chosen = place_up_to(waiting.step, max_count, workers, waiting.target_speed)
+        if len(chosen) < max_count:
+            self._no_room_now.add(key)
         self._subtract(waiting, chosen, from_free_now=True)
         return chosen
 
     def reserve(self, waiting, multi_rack, min_speed=0.0):
         """Reserve capacity that stops will free; return the worker ids, or ()."""
-        workers = self.workers_after_stops(waiting, min_speed)
+        key = self.search_key(waiting, multi_rack, min_speed)
+        workers = self._workers_with_room(
+            waiting, key, self._free_after_stops, self._no_room_after_stops
+        )
         chosen = place(
             waiting.step, waiting.count, workers, multi_rack, waiting.target_speed
         )
+        if not chosen:
+            self._no_room_after_stops.add(key)
         self._subtract(waiting, chosen, from_free_now=False)
         return chosen
 
@@ -105,17 +148,10 @@
         self._subtract(waiting, worker_ids, from_free_now=False)
         return True
 
-    def workers_after_stops(self, waiting, min_speed=0.0, all_workers=False):
-        """Return the `WorkerCapacity`s as they will be once all stops have ended.
-
-        Workers without room for a task are left out unless `all_workers` is set.
-        """
+    def workers_after_stops(self, waiting, min_speed=0.0):
+        """Return all `WorkerCapacity`s as they will be once all stops have ended."""
         return self._worker_capacities(
-            waiting,
-            self._free_after_stops,
-            self._free_after_stops,
-            min_speed,
-            all_workers,
+            waiting, self._free_after_stops, min_speed, all_workers=True
         )
 
     def used_share(self, service):
@@ -138,6 +174,9 @@
 
     def release_preempted(self, units):
         """Count the resources of preempted units as free after their stops."""
+        self._version += 1
+        self._no_room_now.clear()
+        self._no_room_after_stops.clear()
         for unit in units:
             unit_run = self._runs[unit]
             for task, worker_id in unit_run.workers_by_task.items():
@@ -167,13 +206,37 @@
                 return False
         return True
 
-    def _worker_capacities(
-        self, waiting, free_by_worker, limits, min_speed=0.0, all_workers=False
-    ):
-        """Return `WorkerCapacity`s, each with the smaller of two free capacities.
+    def _lowest_speed_from(self, min_speed):
+        """Return the lowest speed of a worker that reaches `min_speed`.
+
+        Returns 0.0 if all workers reach it, and infinity if none does.
+        """
+        index = bisect_left(self._speeds, min_speed)
+        if not index:
+            return 0.0
+        return self._speeds[index] if index < len(self._speeds) else math.inf
 
-        `limits` has the capacity free after stops, less what is reserved.
+    def _workers_with_room(self, waiting, key, free_by_worker, failed_searches):
+        """Return the `WorkerCapacity`s with room for a task.
+
+        Returns () if a search has failed already that was no more demanding.
+        """
+        any_task = (waiting.service, waiting.step.need)
+        if failed_searches.has(any_task) or failed_searches.has(key):
+            return ()
+        if key.min_speed and failed_searches.has(key._replace(min_speed=0.0)):
+            return ()
+        workers = self._worker_capacities(waiting, free_by_worker, key.min_speed)
+        if not (workers or key.min_speed or key.avoided):
+            failed_searches.add(any_task)
+        return workers
+
+    def _worker_capacities(self, waiting, free_by_worker, min_speed, all_workers=False):
+        """Return `WorkerCapacity`s, limited by what is free and not reserved.
+
+        Workers without room for a task are left out unless `all_workers` is set.
         """
+        limits = self._free_after_stops
         need = waiting.step.need
         avoided = self._avoided_workers.get(waiting.units[0], {})
         resident_tasks = self._resident_tasks_of(waiting)
@@ -205,6 +268,9 @@
 
         With `from_free_now` also from the capacity that is free now.
         """
+        if not chosen:
+            return
+        self._version += 1
         resident_tasks = self._resident_tasks_of(waiting)
         need = waiting.step.need
         for worker_id in chosen:
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+from knapweedshed.decisions.failed_searches import FailedSearches
 from knapweedshed.decisions.free_capacity import FreeCapacity, RackCapacities
 from knapweedshed.decisions.preemption import PreemptionCandidate, choose_victims
 from knapweedshed.decisions.waiting import (
@@ -104,8 +105,8 @@
         self._starts = []
         self._preempted = []
         self._preempted_units = set()
-        self._no_room = set()
-        self._no_victims = set()
+        self._failed_units = FailedSearches()
+        self._no_victims = FailedSearches()
         self._candidates_by_priority = {}
         self._borrowers = None
 
@@ -144,49 +145,62 @@
         """Place the units of a step; those that avoid workers one at a time."""
         unrestricted = waiting.units
         if self._planning_input.avoided_workers:
-            unrestricted = tuple(
-                unit for unit in unrestricted if not self._avoids_workers(unit)
-            )
+            unrestricted = []
             for unit in waiting.units:
-                if unit not in unrestricted:
-                    self._place_unit(waiting._replace(units=(unit,)), True)
+                if self._avoids_workers(unit):
+                    self._place_unit(waiting._replace(units=(unit,)))
+                else:
+                    unrestricted.append(unit)
+        if not unrestricted:
+            return
+        waiting = waiting._replace(units=tuple(unrestricted))
         if waiting.priority == URGENT_PRIORITY or waiting.units[0].index == GANG_INDEX:
-            for unit in unrestricted:
-                self._place_unit(waiting._replace(units=(unit,)), False)
-        elif unrestricted:
-            self._place_single_tasks(waiting._replace(units=unrestricted))
+            self._place_one_by_one(waiting)
+        else:
+            self._place_single_tasks(waiting)
+
+    def _place_one_by_one(self, waiting):
+        """Place units that avoid no workers; skip those that must fail like others.
+
+        The units of a step differ in nothing but what was preempted for them.
+        """
+        claims = self._planning_input.preemption_claims
+        for unit in waiting.units:
+            alike = not claims.has_preempted(unit)
+            key = (unit[:3], self._capacity.version)
+            if alike and self._failed_units.has(key):
+                continue
+            placed = self._place_unit(waiting._replace(units=(unit,)))
+            if alike and not placed:
+                self._failed_units.add((unit[:3], self._capacity.version))
 
     def _place_single_tasks(self, waiting):
         """Place as many single tasks of a step as there is room for."""
         units = waiting.units
-        placement_key = (waiting.step, waiting.count, False)
-        if placement_key in self._no_room:
-            return
         worker_ids = self._capacity.allocate_up_to(waiting, len(units))
         self._starts.extend(
             (unit, (worker_id,))
             for unit, worker_id in zip(units, worker_ids, strict=False)
         )
-        if len(worker_ids) < len(units):
-            self._no_room.add(placement_key)
 
-    def _place_unit(self, waiting, avoids_workers):
-        """Place one unit if it fits; preempt for it if it is urgent."""
+    def _place_unit(self, waiting):
+        """Place one unit if it fits; preempt for it if it is urgent.
+
+        Returns whether it has started, or has room reserved for it.
+        """
         if self._place_at_claim(waiting):
-            return
-        placement_key = (waiting.step, waiting.count, avoids_workers)
+            return True
         multi_rack = self._rack_capacities.needs_multiple_racks(waiting)
-        if placement_key not in self._no_room:
-            if self._place_on_time(waiting, multi_rack):
-                return
-            if self._add_start(waiting, self._capacity.allocate(waiting, multi_rack)):
-                return
-        self._no_room.add(placement_key)
+        if self._place_on_time(waiting, multi_rack):
+            return True
+        if self._add_start(waiting, self._capacity.allocate(waiting, multi_rack)):
+            return True
         if waiting.priority == URGENT_PRIORITY:
             if self._place_by_preemption(waiting, multi_rack):
-                return
+                return True
         if self._may_use_several_racks(waiting):
-            self._add_start(waiting, self._capacity.allocate(waiting, True))
+            return self._add_start(waiting, self._capacity.allocate(waiting, True))
+        return False
 
     def _place_at_claim(self, waiting):
         """Use or reserve the place that a unit has claimed; return whether it can."""
@@ -239,11 +253,8 @@
             return False
         if self._capacity.reserve(waiting, multi_rack, min_speed):
             return True
-        workers = self._capacity.workers_after_stops(
-            waiting, min_speed, all_workers=True
-        )
         victims = self._choose_victims(
-            waiting, workers, multi_rack, MAX_LOSS_RATIO_ON_TIME * waiting.work_core_s
+            waiting, multi_rack, MAX_LOSS_RATIO_ON_TIME * waiting.work_core_s, min_speed
         )
         if not victims:
             return False
@@ -257,19 +268,13 @@
         """
         if self._capacity.reserve(waiting, multi_rack):
             return True
-        may_reclaim = self._may_reclaim(waiting)
-        preemption_key = (waiting.step, waiting.count, waiting.guaranteed, may_reclaim)
-        if preemption_key in self._no_victims:
-            return False
-        workers = self._capacity.workers_after_stops(waiting, all_workers=True)
         max_cost = max_preemption_cost(waiting, self._planning_input.now_ms)
-        victims = self._choose_victims(waiting, workers, multi_rack, max_cost)
-        if not victims and may_reclaim:
+        victims = self._choose_victims(waiting, multi_rack, max_cost)
+        if not victims and self._may_reclaim(waiting):
             victims = self._choose_victims(
-                waiting, workers, multi_rack, max_cost, from_borrowers=True
+                waiting, multi_rack, max_cost, from_borrowers=True
             )
         if not victims:
-            self._no_victims.add(preemption_key)
             return False
         self._preempt(waiting, victims, multi_rack)
         return True
@@ -292,7 +297,7 @@
         return now_ms - min(seen_ms, waiting.arrival_ms)
 
     def _choose_victims(
-        self, waiting, workers, multi_rack, max_cost, from_borrowers=False
+        self, waiting, multi_rack, max_cost, min_speed=0.0, from_borrowers=False
     ):
         """Return victims that cost `max_cost` core-seconds at most, or None.
 
@@ -300,17 +305,30 @@
         `from_borrowers` the victims may be urgent units that no guarantee covers.
         """
         claims = self._planning_input.preemption_claims
+        max_cost -= claims.lost_core_s(waiting.units[0])
+        key = (
+            self._capacity.search_key(waiting, multi_rack, min_speed),
+            waiting.priority,
+            from_borrowers,
+            max_cost,
+            self._capacity.version,
+        )
+        if self._no_victims.has(key):
+            return None
         candidates = self._candidates_below(waiting.priority)
         if from_borrowers:
             candidates = candidates + self._borrowing_candidates()
-        return choose_victims(
+        victims = choose_victims(
             waiting.step,
             waiting.count,
-            workers,
+            self._capacity.workers_after_stops(waiting, min_speed),
             candidates,
             multi_rack,
-            max_cost - claims.lost_core_s(waiting.units[0]),
+            max_cost,
         )
+        if not victims:
+            self._no_victims.add(key)
+        return victims
 
     def _preempt(self, waiting, victims, multi_rack, min_speed=0.0):
         """Preempt units, and reserve the capacity that this frees."""
--- a/knapweedshed/decisions/preemption_claims.py
+++ b/knapweedshed/decisions/preemption_claims.py
@@ -36,6 +36,10 @@
         claim = self._claims.get(unit)
         return claim.worker_ids if claim and claim.until_ms else None
 
+    def has_preempted(self, unit):
+        """Return whether others were ever preempted for a unit that still waits."""
+        return unit in self._claims
+
     def lost_core_s(self, unit):
         """Return the work lost by all preemptions for a unit, in core-seconds."""
         claim = self._claims.get(unit)
