Own planner: remember unplaced jobs by whether they may reclaim

Under a queue policy that puts an ordinary job first (fifo), an urgent job of its shape reclaimed nothing.

Change: the key has whether the job may reclaim. Test: an urgent job behind an ordinary one of its shape; it fails without the change.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,6 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
+from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
     HANG_QUARANTINE_MS,
     find_hanging_workers,
@@ -104,8 +105,7 @@
         self._preemption_claims = PreemptionClaims()
         self._postponed_units = {}
         self._given_up_runs = {}
-        self._unassigned_runs = set()
-        self._found_runs = []
+        self._found_runs = FoundRuns()
 
     @property
     def capacity_changed(self):
@@ -298,8 +298,8 @@
     def give_up_launches(self, launches):
         """Drop launches that may be in the log, and were never started.
 
-        Their run numbers are not used again: a late record of one would name other
-        workers than the run that is under way.
+        Their run numbers are not used again: a record that the log takes late would
+        name other workers than a later launch of that number.
         """
         self._given_up_runs = {
             unit: run
@@ -337,8 +337,7 @@
 
     def take_found_runs(self):
         """Return (worker id, task, run) of each new run that has no record."""
-        found_runs, self._found_runs = self._found_runs, []
-        return found_runs
+        return self._found_runs.take_new()
 
     def take_speed_report(self, now_ms):
         """Return the speeds to write to the log for a successor; mark them reported."""
@@ -551,15 +550,9 @@
 
     def _units_found_running(self):
         """Return the units with a run that has no record and may still exist."""
-        self._unassigned_runs = {
-            (worker_id, key)
-            for worker_id, key in self._unassigned_runs
-            if worker_id in self._workers
-            and key in self._workers[worker_id].assigned_runs
-        }
         return {
             self._unit_of(task)
-            for _, (task, _) in self._unassigned_runs
+            for task in self._found_runs.tasks(self._workers)
             if self._ledger.has_task(task)
         }
 
@@ -693,8 +686,7 @@
             now_ms,
             ordered_ms=now_ms,
         )
-        self._unassigned_runs.add((worker.worker_id, (listed.task, listed.run)))
-        self._found_runs.append((worker.worker_id, listed.task, listed.run))
+        self._found_runs.add(worker.worker_id, listed.task, listed.run)
         return StopRun(worker.worker_id, listed.task, listed.run)
 
 
--- a/knapweedshed/decisions/launch_appends.py
+++ b/knapweedshed/decisions/launch_appends.py
@@ -3,8 +3,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-# A log may execute an append whose answer was lost as late as this.
-MAX_LATE_APPEND_MS = 6_000
+# The log executes an append whose answer was lost up to 6 s late.
+MAX_OPEN_LAUNCH_MS = 6_000
 
 
 class LaunchVerdict(StrEnum):
@@ -33,13 +33,14 @@
 
     `is_final` means that the log will never take this record. A refusal tells about
     one copy only: if an earlier one had no answer, the launches are repeated until one
-    is read back, or given up once no late copy is on its way any more.
+    is read back. After `MAX_OPEN_LAUNCH_MS` they are given up, so that other work gets
+    their workers.
     """
     maybe_written = pending.maybe_written or outcome_unknown
     pending = pending._replace(maybe_written=maybe_written)
     if not maybe_written:
         verdict = LaunchVerdict.REJECTED if is_final else LaunchVerdict.NOT_WRITTEN
         return pending, verdict
-    if is_final or now_ms - pending.sent_ms >= MAX_LATE_APPEND_MS:
+    if is_final or now_ms - pending.sent_ms >= MAX_OPEN_LAUNCH_MS:
         return pending, LaunchVerdict.GIVE_UP
     return pending, LaunchVerdict.REPEAT
--- a/knapweedshed/decisions/planning.py
+++ b/knapweedshed/decisions/planning.py
@@ -222,7 +222,14 @@
         covered = self._is_covered(job)
         if not covered and not self._may_borrow(job):
             return
-        signature = (job.shape, covered, job.reclaimable, job.organisation)
+        may_reclaim = covered or job.urgency == Urgency.URGENT
+        signature = (
+            job.shape,
+            covered,
+            may_reclaim,
+            job.reclaimable,
+            job.organisation,
+        )
         if job.predicted_run_ms >= self._min_unplaced_run_ms.get(
             signature, job.predicted_run_ms + 1
         ):
@@ -232,7 +239,7 @@
             self._launch(job, placements, covered)
             return
         reservation_blocked = not covered and self._is_blocked_by_reservation(job)
-        if not self._reclaim_or_reserve(job, covered):
+        if not self._reclaim_or_reserve(job, covered, may_reclaim):
             self._min_unplaced_run_ms[signature] = (
                 job.predicted_run_ms if reservation_blocked else 0
             )
@@ -378,9 +385,8 @@
         now_ms = self._input.now_ms
         return any(reservations.is_blocked(r, job, now_ms) for r in self._reservations)
 
-    def _reclaim_or_reserve(self, job, covered):
+    def _reclaim_or_reserve(self, job, covered, may_reclaim):
         """Reclaim or reserve for a job that doesn't fit; return True if reclaimed."""
-        may_reclaim = covered or job.urgency == Urgency.URGENT
         if may_reclaim and self._reclaim(job, covered):
             return True
         if self._reserving and len(self._reservations) < MAX_RESERVATIONS:
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -15,6 +15,7 @@
     full_entitlement,
 )
 from knapweedshed.decisions.planning import GuaranteePlanner
+from knapweedshed.decisions.queue_policy import create_queue_policy
 from knapweedshed.models.configuration import Organisation, Urgency
 from knapweedshed.models.planning import (
     PendingReclaim,
@@ -69,7 +70,14 @@
 BORROWER = Organisation("borrower", ("north",))
 
 
-def make_plan(workers, running=(), waiting=(), organisations=(), pending_reclaims=()):
+def make_plan(
+    workers,
+    running=(),
+    waiting=(),
+    organisations=(),
+    pending_reclaims=(),
+    planner=None,
+):
     """Return the plan of one planning step in data centre "north" at time 0 ms."""
     inventory = tuple((w.rack, w.accelerators) for w in workers)
     planning_input = PlanningInput(
@@ -82,7 +90,7 @@
         pending_reclaims,
         inventory,
     )
-    return GuaranteePlanner().plan(planning_input)
+    return (planner or GuaranteePlanner()).plan(planning_input)
 
 
 def brute_force_packs(masks, needs):
@@ -250,6 +258,25 @@
         plan = make_plan(workers, running, waiting, (make_owner(8), single))
         self.assertEqual([r.victims for r in plan.reclaims], [("s1",)])
 
+    def test_urgent_job_reclaims_though_an_ordinary_one_of_its_shape_may_not(self):
+        running = [
+            make_running(
+                "batch", "borrower", Shape(1, 8), (make_placement("a", *range(8)),)
+            )
+        ]
+        waiting = [
+            make_waiting("ordinary", "borrower", Shape(1, 8)),
+            make_waiting("urgent", "borrower", Shape(1, 8), Urgency.URGENT, since_ms=1),
+        ]
+        plan = make_plan(
+            [make_worker("a", 0)],
+            running,
+            waiting,
+            (BORROWER,),
+            planner=GuaranteePlanner(create_queue_policy("fifo")),
+        )
+        self.assertEqual([reclaim.job_id for reclaim in plan.reclaims], ["urgent"])
+
     def test_impossible_shape_is_refused_with_its_reason(self):
         waiting = [make_waiting("huge", "owner", Shape(3, 8))]
         plan = make_plan(
--- a/tests/test_late_appends.py
+++ b/tests/test_late_appends.py
@@ -14,7 +14,7 @@
 from knapweedshed.controllers.messages import AppendFailed, AppendRecord
 from knapweedshed.controllers.work_messages import OrderRequest, WorkersListed
 from knapweedshed.decisions.launch_appends import (
-    MAX_LATE_APPEND_MS,
+    MAX_OPEN_LAUNCH_MS,
     LaunchVerdict,
     PendingAppend,
     after_failure,
@@ -55,9 +55,9 @@
         undone = verdict in (LaunchVerdict.NOT_WRITTEN, LaunchVerdict.REJECTED)
         self.assertEqual(undone, not maybe_written)
 
-    def test_wait_for_a_late_copy_ends(self):
+    def test_launches_do_not_hold_their_workers_for_ever(self):
         pending = PendingAppend("record", 0, maybe_written=True)
-        before, after = MAX_LATE_APPEND_MS - 1, MAX_LATE_APPEND_MS
+        before, after = MAX_OPEN_LAUNCH_MS - 1, MAX_OPEN_LAUNCH_MS
         verdicts = [
             after_failure(pending, True, False, ms)[1] for ms in (before, after)
         ]
@@ -79,7 +79,7 @@
 
     def _give_up(self):
         self._fail(unknown=True)
-        self._fail(after_ms=MAX_LATE_APPEND_MS)
+        self._fail(after_ms=MAX_OPEN_LAUNCH_MS)
 
     def _plan(self, after_ms=400):
         """Return the launches of the next plan, by workers that are in touch."""
