Soak: two services with jobs of one shape, and tasks limited on each worker

Jobs go to one of two queues by their id; two of six workers are of the second service, and a worker that leaves is replaced by one of its service. Every other job has `max_per_server` 1 on its steps that are no gangs. The workers check the service of each start and that limit (ROUTE).

--- a/tests/cancel_race.py
+++ b/tests/cancel_race.py
@@ -16,9 +16,14 @@
 from tests.fleet_standin import FakeStore
 from tests.ports import server_ports
 from tests.proxy import Proxy
-from tests.soak import ACKNOWLEDGED_CANCEL, SoakHost, call_host
+from tests.soak import (
+    ACKNOWLEDGED_CANCEL,
+    SOAK_CONFIGURATION,
+    SoakHost,
+    call_host,
+    service_of,
+)
 from tests.soak_workers import SoakWorkers, now_ms
-from tests.test_fleet_platform import CONFIGURATION
 
 HOST_COUNT = 3
 WORKER_COUNT = 4
@@ -53,8 +58,8 @@
         ports = server_ports()
         self._proxy = Proxy()
         self.store = FakeStore(next(ports))
-        self.store.put("keyed.op", "config", CONFIGURATION)
-        self._workers = SoakWorkers(self.store)
+        self.store.put("keyed.op", "config", SOAK_CONFIGURATION)
+        self._workers = SoakWorkers(self.store, service_of)
         self._hosts = [
             SoakHost(f"edge-{n}", self._proxy, self.store, folder, ports)
             for n in range(HOST_COUNT)
@@ -63,7 +68,8 @@
         self._workers.start()
         for number in range(WORKER_COUNT):
             port = next(ports)
-            self._workers.add(f"i-tunis-{number}", port, port)
+            service = ("planner", "painter")[number % 2]
+            self._workers.add(f"i-tunis-{number}", port, port, service)
         for host in self._hosts:
             host.start()
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -45,6 +45,20 @@
 LATE_APPEND_SHARE = 0.3
 REFUSED_APPEND_SHARE = 0.35
 UNANSWERED_APPEND_SHARE = 0.15
+# Queues of two services, so that jobs of one shape wait for different workers.
+SERVICES_BY_QUEUE = {"plans": "planner", "paints": "painter"}
+SOAK_CONFIGURATION = {
+    **CONFIGURATION,
+    "routes": [
+        {
+            **CONFIGURATION["routes"][0],
+            "name": queue,
+            "path_prefix": f"/{queue}/",
+            "service": service,
+        }
+        for queue, service in SERVICES_BY_QUEUE.items()
+    ],
+}
 NOT_ACCEPTED = (429, 503)
 ACKNOWLEDGED_CANCEL = (200, 410)
 _HTTP = urllib3.PoolManager(maxsize=64)  # callers at one host at the same time
@@ -121,8 +135,8 @@
         self._proxy = Proxy()
         self._ports = server_ports()
         self._store = FakeStore(next(self._ports))
-        self._store.put("keyed.op", "config", CONFIGURATION)
-        self._workers = SoakWorkers(self._store)
+        self._store.put("keyed.op", "config", SOAK_CONFIGURATION)
+        self._workers = SoakWorkers(self._store, service_of)
         self._hosts = [
             SoakHost(f"edge-{n}", self._proxy, self._store, folder, self._ports)
             for n in range(hosts)
@@ -146,8 +160,8 @@
         """Play faults for `duration_s`, let the system settle; return a report."""
         self._proxy.start()
         self._workers.start()
-        for _ in range(self._worker_count):
-            self._add_worker()
+        for number in range(self._worker_count):
+            self._add_worker("painter" if number % 3 == 2 else "planner")
         for host in self._hosts:
             host.start()
         clients = [
@@ -186,13 +200,13 @@
             self._refused_late,
         )
 
-    def _add_worker(self):
+    def _add_worker(self, service):
         name = f"i-{('tunis', 'sfax')[self._next_worker % 2]}-{self._next_worker}"
         self._next_worker += 1
         port, listed_port = next(self._ports), next(self._ports)
         self._proxy.forward(listed_port, port)
         self._worker_ports[name] = listed_port
-        self._workers.add(name, port, listed_port)
+        self._workers.add(name, port, listed_port, service)
 
     def _wait_until_served(self):
         deadline_s = time.monotonic() + START_TIMEOUT_S
@@ -347,7 +361,7 @@
         self._restore_later(
             self._random.uniform(3.0, 6.0), lambda: self._workers.remove(name)
         )
-        self._add_worker()
+        self._add_worker(self._workers.service_of(name))
 
     def _write_garbage(self):
         garbage = (b"", b"\xff\xfe", b"[" * 500, b'{"version":"x"}', b"null", b"{}")
@@ -364,12 +378,12 @@
 
     def _configure(self, keys):
         self._version += self._random.randint(1, 3)
-        organisation = CONFIGURATION["tenants"][0]
+        organisation = SOAK_CONFIGURATION["tenants"][0]
         changed = {**organisation, "api_keys": [*organisation["api_keys"], *keys]}
         self._store.put(
             "keyed.op",
             "config",
-            {**CONFIGURATION, "version": self._version, "tenants": [changed]},
+            {**SOAK_CONFIGURATION, "version": self._version, "tenants": [changed]},
         )
 
     # Callers
@@ -405,7 +419,7 @@
     def _submit(self, rng, job_id=""):
         """Submit a job like a caller with retries; return the last status."""
         job_id = job_id or f"{rng.getrandbits(64):016x}"
-        steps = _random_steps(rng)
+        steps = _with_limits(_random_steps(rng), job_id)
         with self._lock:
             self._workers.jobs[job_id] = steps
             codes = self._answers.setdefault(job_id, [])
@@ -537,6 +551,26 @@
     return steps
 
 
+def _with_limits(steps, job_id):
+    """Return the steps; those of every other job run one task of a step on a worker."""
+    if int(job_id, 16) // len(SERVICES_BY_QUEUE) % 2:
+        return steps
+    return [
+        step if step.get("gang") else {**step, "max_per_server": 1} for step in steps
+    ]
+
+
+def queue_of(job_id):
+    """Return the name of the queue that a job is submitted to."""
+    queues = sorted(SERVICES_BY_QUEUE, reverse=True)
+    return queues[int(job_id, 16) % len(queues)]
+
+
+def service_of(job_id):
+    """Return the service that a job is run by."""
+    return SERVICES_BY_QUEUE[queue_of(job_id)]
+
+
 def call_host(host, method, job_id, body, deadline_s, key="k1"):
     """Send a request; return (status, body), with status 0 without an answer."""
     left_s = deadline_s - time.monotonic()
@@ -545,7 +579,7 @@
     try:
         response = _HTTP.request(
             method,
-            f"http://{host.front}/plans/{job_id}",
+            f"http://{host.front}/{queue_of(job_id)}/{job_id}",
             body=None if body is None else json.dumps(body),
             headers={
                 "Host": "n.example",
--- a/tests/soak_workers.py
+++ b/tests/soak_workers.py
@@ -55,10 +55,12 @@
     `jobs` maps the ids of submitted jobs to their steps; `started_jobs` has every job
     that a worker ran, `ended_done` the tasks that have ended `done`, and `done` those
     whose end was acknowledged. `late_share` of the orders get no answer and are carried
-    out some seconds later. All methods may be called from any thread.
+    out some seconds later. `service_of_job` returns the service of a job by its id. All
+    methods may be called from any thread.
     """
 
-    def __init__(self, store):
+    def __init__(self, store, service_of_job):
+        self._service_of_job = service_of_job
         self.broken = []
         self.jobs = {}
         self.done = set()
@@ -85,9 +87,9 @@
         for worker in self._workers.values():
             worker.server.close()
 
-    def add(self, name, port, listed_port):
+    def add(self, name, port, listed_port, service):
         """Add a worker that listens on `port` and is listed under `listed_port`."""
-        worker = _Worker(name, listed_port)
+        worker = _Worker(name, listed_port, service)
         with self._lock:
             self._workers[name] = worker
         worker.server = start_server(lambda call: self._handle(worker, call), port)
@@ -117,6 +119,11 @@
         worker.server.close()
         self._store.put("keyed.servers", name, b"")
 
+    def service_of(self, name):
+        """Return the service of a worker."""
+        with self._lock:
+            return self._workers[name].service
+
     def running_count(self):
         """Return how many runs there are."""
         with self._lock:
@@ -124,7 +131,7 @@
 
     def _list(self, worker):
         entry = {
-            "service": "planner",
+            "service": worker.service,
             "addr": f"127.0.0.1:{worker.listed_port}",
             "zone": worker.name.split("-")[1],
             "state": "draining" if worker.draining_ms else "ready",
@@ -215,6 +222,7 @@
                     f"TWICE: {name} run {run} at {worker.name}"
                     f" while run {earlier} is at {other.name}"
                 )
+        self._check_route(worker, name)
         used = sum(self._step_of(task)["gpu"] for task in worker.runs)
         if used + self._step_of(name)["gpu"] > 8:
             self._report(f"LIMIT: {worker.name} gets {name} beyond its accelerators")
@@ -230,6 +238,15 @@
                 if f"{job_id}.0.{earlier}.{index}" not in self.ended_done:
                     self._report(f"ORDER: {name} starts before step {earlier} is done")
 
+    def _check_route(self, worker, name):
+        """Check the service of a worker, and how many tasks of a step it runs."""
+        task, limit = parse_task(name), self._step_of(name).get("max_per_server")
+        if self._service_of_job(task.job_id) != worker.service:
+            self._report(f"ROUTE: {name} starts on {worker.name} of another service")
+        resident = sum(parse_task(other)[:3] == task[:3] for other in worker.runs)
+        if limit and resident >= limit:
+            self._report(f"ROUTE: {worker.name} gets {name} beyond its limit")
+
     def _stop(self, worker, body):
         name, run = body["task"], body["run"]
         worker.barred_runs[name] = max(run, worker.barred_runs.get(name, 0))
@@ -329,9 +346,10 @@
 class _Worker:
     """One worker's state; `reset` begins a new incarnation."""
 
-    def __init__(self, name, listed_port):
+    def __init__(self, name, listed_port, service):
         self.name = name
         self.listed_port = listed_port
+        self.service = service
         self.server = None
         self.incarnation = 0
         self.draining_ms = 0
