Soak: time in which a host was paused doesn't count as running

The process was still in its imports, has read no request, and has no handler yet; the soak allows that for 5 s after a start, and counted the pause as time in which it had run.

The check is as strict as before for each process that has run for 5 s.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -100,11 +100,19 @@
         with open(self._settings_path, "w", encoding="utf-8") as file:
             yaml.safe_dump(settings, file)
         self.process = None
-        self.started_s = 0.0
+        self._started_s = 0.0
+        self._paused_since_s = None
+        self._paused_s = 0.0
+
+    @property
+    def running_s(self):
+        """Return for how long the process has run since its start, without pauses."""
+        return time.monotonic() - self._started_s - self._paused_s
 
     def start(self):
         """Start the process, whose log file grows over restarts."""
-        self.started_s = time.monotonic()
+        self._started_s = time.monotonic()
+        self._paused_since_s, self._paused_s = None, 0.0
         with open(os.path.join(self._folder, f"{self.name}.log"), "a") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "knapweedshed.programs.host"],
@@ -113,6 +121,22 @@
                 stderr=log,
             )
 
+    def pause(self):
+        """Pause the process; return a function that lets it go on."""
+        process = self.process
+        process.send_signal(signal.SIGSTOP)
+        self._paused_since_s = self._paused_since_s or time.monotonic()
+        return lambda: self.resume(process)
+
+    def resume(self, process):
+        """Let a process go on, if it still is the one of this host and paused."""
+        if process is not self.process or process.poll() is not None:
+            return
+        process.send_signal(signal.SIGCONT)
+        if self._paused_since_s is not None:
+            self._paused_s += time.monotonic() - self._paused_since_s
+            self._paused_since_s = None
+
     def stop(self, signal_number=signal.SIGKILL):
         """End the process with a signal; it is killed if that takes too long."""
         if self.process.poll() is None:
@@ -271,16 +295,13 @@
     def _pause_host(self):
         host = self._running_host()
         if host:
-            process = host.process
-            process.send_signal(signal.SIGSTOP)
-            resume_s = self._random.uniform(0.5, 8.0)
-            self._restore_later(resume_s, lambda: _resume(process))
+            self._restore_later(self._random.uniform(0.5, 8.0), host.pause())
 
     def _restart_host(self):
         host = self._running_host()
         if host:
-            _resume(host.process)
-            handles_signals = time.monotonic() - host.started_s > IMPORT_TIME_S
+            host.resume(host.process)
+            handles_signals = host.running_s > IMPORT_TIME_S
             status = host.stop(signal.SIGTERM)
             if status != 0 and handles_signals:
                 self._broken.append(f"STOP: {host.name} ended with status {status}")
@@ -594,11 +615,6 @@
         return 0, None
 
 
-def _resume(process):
-    if process.poll() is None:
-        process.send_signal(signal.SIGCONT)
-
-
 def run_seed(seed, duration_s, keep_logs="", **sizes):
     """Run the soak for one seed; return a `SoakReport`.
 
