--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -20,6 +20,7 @@
     SetReadPause,
     Tick,
 )
+from knapweedshed.controllers.term_records import TermRecords
 from knapweedshed.controllers.work_messages import (
     HoldResponse,
     OrderRequest,
@@ -45,7 +46,6 @@
     LeaderElection,
 )
 from knapweedshed.decisions.record_parts import halve_record
-from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_ordering_policy
@@ -65,23 +65,19 @@
 )
 from knapweedshed.models.outcomes import FAILURE_TYPES
 from knapweedshed.models.service_configuration import ServiceConfiguration
-from knapweedshed.models.work import WorkState
 from knapweedshed.models.work_records import (
     WORK_STREAM,
     ActingBeat,
     ActingClaimed,
     ActingResigned,
     RunsLaunched,
-    SpeedsLearned,
     TasksEnded,
     WorkAccepted,
-    WorkCancelled,
     WorkSnapshot,
 )
 
 LOG_RETRY_DELAY_MS = 300  # after a failed append; no launches meanwhile
 TICK_PERIOD_MS = 200
-SPEEDS_RECORD_PERIOD_MS = 1_000  # bounds what a host that takes over has to learn again
 STANDBY_READ_PAUSE_MS = 400  # two reads in the gap that one missed heartbeat leaves
 MIN_PLAN_DELAY_MS = 10  # runs that end together are planned for together
 # Times the last plan's duration; limits planning to a third of the processor time.
@@ -119,12 +115,10 @@
         )
         self._log_unreadable_since_ms = None
         self._last_heartbeat_ms = 0
-        self._speeds_recorded_ms = 0
         self._launches_paused_until_ms = 0
         self._resign_reply = None
         self._term_epoch = 0
-        self._ends_recorded_again = set()
-        self._snapshot_schedule = SnapshotSchedule(settings.log_keep_ms)
+        self._term_records = TermRecords(context.clock, self._ledger, settings)
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
         self._planning_scheduled = False
@@ -179,7 +173,7 @@
             self._handle_own_record(record)
         self._execute_actions(self._dispatcher.handle_changed_jobs(changed, now_ms))
         self._decision_log.log_ended_jobs(self._ledger, changed)
-        self._record_ends_again(described_jobs)
+        self._append_records(self._term_records.ends_again(described_jobs))
         self._schedule_planning()
 
     @receive.register
@@ -307,8 +301,7 @@
         if now_ms - self._last_heartbeat_ms >= HEARTBEAT_PERIOD_MS:
             self._last_heartbeat_ms = now_ms
             self._append_record(ActingBeat(self._ledger.epoch, self._host_id))
-        self._write_snapshots()
-        self._record_speeds(now_ms)
+        self._append_records(self._term_records.due(self._dispatcher, now_ms))
         self._execute_actions(self._dispatcher.tick(now_ms))
         self._schedule_planning()
 
@@ -383,7 +376,7 @@
 
     def _begin_term(self):
         self._term_epoch = self._ledger.epoch
-        self._ends_recorded_again = set()
+        self._term_records.begin_term()
         self._dispatcher = Dispatcher(
             self._ledger, self._time_limits, create_ordering_policy(), self._now_ms()
         )
@@ -493,37 +486,6 @@
                 unsent = OrderResponse(action, self._ledger.epoch, ORDER_NOT_SENT)
                 self._timer.after(LOG_RETRY_DELAY_MS, self.actor_ref, unsent)
 
-    def _record_ends_again(self, job_ids):
-        """Record the ends of jobs again that stand in the log before their jobs.
-
-        A snapshot may be written just before its job's end is read, and a cancel may
-        come before its acceptance. A reader for whom the log begins between the two
-        would take the job for open.
-        """
-        for job_id in set(job_ids) - self._ends_recorded_again:
-            progress = self._ledger.jobs.get(job_id)
-            if progress is None or progress.active:
-                continue
-            self._ends_recorded_again.add(job_id)
-            if progress.state == WorkState.CANCELLED:
-                self._append_record(WorkCancelled(job_id))
-            else:
-                wall_ms = self._context.clock.wall_ms()
-                self._append_record(progress.snapshot(self._ledger.epoch, wall_ms))
-
-    def _write_snapshots(self):
-        epoch = self._ledger.epoch
-        wall_ms = self._context.clock.wall_ms()
-        for job_id in self._snapshot_schedule.take_due(self._ledger, wall_ms):
-            self._append_record(self._ledger.jobs[job_id].snapshot(epoch, wall_ms))
-
-    def _record_speeds(self, now_ms):
-        if now_ms - self._speeds_recorded_ms >= SPEEDS_RECORD_PERIOD_MS:
-            self._speeds_recorded_ms = now_ms
-            speeds = self._dispatcher.take_speed_report(now_ms)
-            if speeds:
-                self._append_record(SpeedsLearned(self._ledger.epoch, speeds))
-
     def _settle_launches(self, message, verdict):
         """Repeat, undo, split or give up launches whose append has failed."""
         record = self._pending_appends[message.record_id].record
@@ -541,6 +503,10 @@
         else:
             self._dispatcher.give_up_launches(record.launches)
 
+    def _append_records(self, records):
+        for record in records:
+            self._append_record(record)
+
     def _append_record(self, record):
         for part, text in encode_in_parts(record, self._max_record_bytes):
             if text is None:
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -11,6 +11,11 @@
     HANG_QUARANTINE_MS,
     find_hanging_workers,
 )
+from knapweedshed.decisions.order_outcomes import (
+    NOT_STARTED_REASONS,
+    shows_silence,
+    withdraw_starts,
+)
 from knapweedshed.decisions.pauses import PauseDetector
 from knapweedshed.decisions.planning_units import UnitPlanner, UnitPlanningInput
 from knapweedshed.decisions.preemption_claims import PreemptionClaims
@@ -30,23 +35,16 @@
 from knapweedshed.decisions.unit_runs import UnitRun
 from knapweedshed.decisions.units import ready_units, step_of
 from knapweedshed.decisions.unrecorded_ends import UnrecordedEnds
+from knapweedshed.decisions.unsettled_launches import UnsettledLaunches
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
     ORDER_UNKNOWN,
-    REASON_EXPIRED,
-    REASON_LATE,
-    REASON_NO_CAPACITY,
-    REASON_NOT_SENT,
-    REASON_OTHER_INCARNATION,
-    REASON_STALE_RUN,
     REASON_UNHEALTHY,
     REASON_UNREACHABLE,
-    REASON_WITHDRAWN,
     RecordLaunches,
     RunLost,
     StartRun,
     StopRun,
-    WithdrawStarts,
 )
 from knapweedshed.models.work import EndKind, Resources, tasks_of_unit, unit_of_task
 from knapweedshed.models.work_records import Launched
@@ -61,19 +59,7 @@
 MAX_TICK_GAP_MS = 1_000  # ticks come each 200 ms; a longer gap is a pause of this host
 # After a pause answers may wait that arrived meanwhile: time alone proves nothing yet.
 PAUSE_GRACE_MS = 1_500
-REJECTED_LAUNCH_DELAY_MS = 5_000
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
-NOT_STARTED_REASONS = (
-    REASON_STALE_RUN,
-    REASON_LATE,
-    REASON_NO_CAPACITY,
-    REASON_NOT_SENT,
-    REASON_UNHEALTHY,
-    REASON_UNREACHABLE,
-    REASON_OTHER_INCARNATION,
-    REASON_EXPIRED,
-    REASON_WITHDRAWN,
-)
 LOST_RUN_KINDS = (EndKind.FAILED, EndKind.LAPSED)
 
 
@@ -103,8 +89,7 @@
         self._capacity_changed = True
         self._waiting_since_ms = {}
         self._preemption_claims = PreemptionClaims()
-        self._postponed_units = {}
-        self._given_up_runs = {}
+        self._unsettled_launches = UnsettledLaunches()
         self._found_runs = FoundRuns()
 
     @property
@@ -143,13 +128,13 @@
                 self._workers[entry.worker_id] = worker
             life_before = worker.life
             removed_runs = worker.update_entry(entry, now_ms)
-            orders.extend(_withdraw_starts(worker, life_before))
+            orders.extend(withdraw_starts(worker, life_before))
             orders.extend(self._handle_removed_runs(worker, removed_runs, now_ms))
         for worker_id, worker in list(self._workers.items()):
             if worker_id not in listed:
                 life_before = worker.life
                 worker.entry = None
-                orders.extend(_withdraw_starts(worker, life_before))
+                orders.extend(withdraw_starts(worker, life_before))
                 if not worker.assigned_runs:
                     del self._workers[worker_id]
         return orders
@@ -168,7 +153,7 @@
         )
         if removed_runs or ends or not accepted_work:
             self._capacity_changed = True
-        orders = _withdraw_starts(worker, life_before)
+        orders = withdraw_starts(worker, life_before)
         self._speed_observer.observe_worker(worker, removed_runs, now_ms)
         self._handle_ends(worker, ends, now_ms)
         orders.extend(self._stop_repeated_runs(ends, now_ms))
@@ -195,7 +180,7 @@
         """
         worker = self._workers.get(order.worker_id)
         key = (order.task, order.run)
-        if worker is not None and _shows_silence(outcome):
+        if worker is not None and shows_silence(outcome):
             self._note_silence(worker)
         assigned_run = worker.assigned_runs.get(key) if worker else None
         if assigned_run is None:
@@ -260,7 +245,7 @@
             if not self._is_latest_launch(launched):
                 self._discard_unit_run(launched.unit)
                 continue
-            self._given_up_runs.pop(launched.unit, None)
+            self._unsettled_launches.settle(launched.unit)
             is_outdated = self._is_outdated(unit_run, launched, now_ms)
             self._unit_runs[launched.unit] = unit_run._replace(
                 launched=True, started_ms=now_ms
@@ -281,13 +266,7 @@
 
     def postpone_units(self, launches, now_ms):
         """Launch units again later whose launches the log has rejected."""
-        self._postponed_units = {
-            unit: until_ms
-            for unit, until_ms in self._postponed_units.items()
-            if until_ms > now_ms
-        }
-        for launched in launches:
-            self._postponed_units[launched.unit] = now_ms + REJECTED_LAUNCH_DELAY_MS
+        self._unsettled_launches.postpone(launches, now_ms)
 
     def discard_launches(self, launches):
         """Drop launches that were certainly not written, and so never started."""
@@ -296,18 +275,8 @@
                 self._discard_unit_run(launched.unit)
 
     def give_up_launches(self, launches):
-        """Drop launches that may be in the log, and were never started.
-
-        Their run numbers are not used again: a record that the log takes late would
-        name other workers than a later launch of that number.
-        """
-        self._given_up_runs = {
-            unit: run
-            for unit, run in self._given_up_runs.items()
-            if unit.job_id in self._ledger.open_jobs
-        }
-        for launched in launches:
-            self._given_up_runs[launched.unit] = launched.run
+        """Drop launches that may be in the log, and were never started."""
+        self._unsettled_launches.give_up(launches, self._ledger.open_jobs)
         self.discard_launches(launches)
 
     def tick(self, now_ms):
@@ -358,7 +327,7 @@
             for unit in ready_units(self._ledger, wall_ms + self._limits.early_ms // 2)
             if unit not in self._unit_runs
             and unit not in unsettled
-            and now_ms >= self._postponed_units.get(unit, now_ms)
+            and not self._unsettled_launches.is_postponed(unit, now_ms)
         ]
         self._waiting_since_ms = {
             unit[:3]: self._waiting_since_ms.get(unit[:3], now_ms)
@@ -433,7 +402,10 @@
         progress = self._ledger.jobs[unit.job_id]
         step = step_of(progress.job, unit)
         previous = progress.launched.get(unit)
-        run = 1 + max(previous.run if previous else 0, self._given_up_runs.get(unit, 0))
+        run = 1 + max(
+            previous.run if previous else 0,
+            self._unsettled_launches.last_given_up_run(unit),
+        )
         workers_by_task = {}
         for task, worker_id in zip(tasks_of_unit(unit, step), worker_ids, strict=True):
             self._workers[worker_id].assigned_runs[task, run] = AssignedRun(
@@ -688,20 +660,3 @@
         )
         self._found_runs.add(worker.worker_id, listed.task, listed.run)
         return StopRun(worker.worker_id, listed.task, listed.run)
-
-
-def _withdraw_starts(worker, life_before):
-    """Return [`WithdrawStarts`] if a worker began to leave or started anew, or []."""
-    life = worker.life
-    if life.incarnation == life_before.incarnation and (
-        life_before.leaving or not life.leaving
-    ):
-        return []
-    return [WithdrawStarts(worker.worker_id)]
-
-
-def _shows_silence(outcome):
-    """Return whether an order was sent and got no answer, or found no connection."""
-    if outcome.kind == ORDER_UNKNOWN:
-        return outcome.reason != REASON_NOT_SENT
-    return outcome.reason == REASON_UNREACHABLE
