Pause holds until the ends that a worker lists are recorded

A worker answers a hold at once while it lists an end that isn't acknowledged, and an end is acknowledged once it is in the log. So each end cost several holds, and with a slow or unavailable log holds followed each other as fast as the network allowed. The next hold of such a worker now waits for the record, at most 150 ms.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -35,6 +35,7 @@
 )
 from knapweedshed.controllers.work_stream import apply_records, encode_in_parts
 from knapweedshed.decisions.dispatch import Dispatcher
+from knapweedshed.decisions.hold_pacing import HoldPacing
 from knapweedshed.decisions.launch_appends import (
     LaunchVerdict,
     PendingAppend,
@@ -118,6 +119,7 @@
         self._launches_paused_until_ms = 0
         self._resign_reply = None
         self._term_epoch = 0
+        self._hold_pacing = HoldPacing()
         self._term_records = TermRecords(context.clock, self._ledger, settings)
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
@@ -303,6 +305,7 @@
             self._append_record(ActingBeat(self._ledger.epoch, self._host_id))
         self._append_records(self._term_records.due(self._dispatcher, now_ms))
         self._execute_actions(self._dispatcher.tick(now_ms))
+        self._resume_holds()
         self._schedule_planning()
 
     @receive.register
@@ -358,6 +361,7 @@
             return
         if isinstance(record, TasksEnded):
             self._dispatcher.confirm_ends(record.ends)
+            self._resume_holds()
         elif isinstance(record, RunsLaunched):
             now_ms = self._now_ms()
             self._execute_actions(
@@ -377,6 +381,7 @@
     def _begin_term(self):
         self._term_epoch = self._ledger.epoch
         self._term_records.begin_term()
+        self._hold_pacing = HoldPacing()
         self._dispatcher = Dispatcher(
             self._ledger, self._time_limits, create_ordering_policy(), self._now_ms()
         )
@@ -416,6 +421,9 @@
         if not self._keep_or_drop_worker(worker_id):
             return
         now_ms = self._now_ms()
+        if self._hold_pacing.pauses(self._dispatcher.workers[worker_id], now_ms):
+            self._context.metrics.count("holds.paused")
+            return
         if not self._election.may_send_orders(self._ledger, now_ms):
             self._worker_links.hold_later(worker_id, self._ledger.epoch, 0, 0)
             return
@@ -430,6 +438,12 @@
             self._dispatcher.workers[worker_id].has_doubtful_runs,
         )
 
+    def _resume_holds(self):
+        """Hold the workers whose next hold has waited for the record of an end."""
+        now_ms = self._now_ms()
+        for worker_id in self._hold_pacing.due(self._dispatcher.workers, now_ms):
+            self._hold_worker(worker_id)
+
     def _keep_or_drop_worker(self, worker_id):
         """Return whether to keep holding a worker; if not, drop its links.
 
@@ -441,6 +455,7 @@
         if worker is not None and (worker.entry is not None or worker.assigned_runs):
             return True
         self._worker_links.drop(worker_id)
+        self._hold_pacing.forget(worker_id)
         return False
 
     def _handle_hold_failure(self, worker_id, failure):
