Add a setting for overload policies, and the platform's bounds that they need

--overload-policies names the policies that a host follows; none by default, and none exists yet. Host settings now carry memory, descriptors, the saving interval, the times of a restore and of a stop, the evacuation bound and the data centres. The holds of a term move from the scheduling controller to a class of their own.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -34,8 +34,8 @@
     WorkersListed,
 )
 from knapweedshed.controllers.work_stream import apply_records, encode_in_parts
+from knapweedshed.controllers.worker_holds import WorkerHolds
 from knapweedshed.decisions.dispatch import Dispatcher
-from knapweedshed.decisions.hold_pacing import HoldPacing
 from knapweedshed.decisions.launch_appends import (
     LaunchVerdict,
     PendingAppend,
@@ -65,6 +65,7 @@
     WorkerHung,
 )
 from knapweedshed.models.outcomes import FAILURE_TYPES
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import ServiceConfiguration
 from knapweedshed.models.work_records import (
     WORK_STREAM,
@@ -95,13 +96,27 @@
     The log decides which host is acting. `_dispatcher` is None on all other hosts.
     """
 
-    def __init__(self, context, timer, platform, appender, settings):
+    def __init__(
+        self,
+        context,
+        timer,
+        platform,
+        appender,
+        settings,
+        overload_policies=NO_OVERLOAD_POLICIES,
+    ):
         super().__init__(context)
         self._timer = timer
         self._appender = appender
         self._time_limits = TimeLimits(
-            settings.lease_ms, MAX_ACTING_WITHOUT_LOG_MS, settings.early_ms
+            settings.lease_ms,
+            MAX_ACTING_WITHOUT_LOG_MS,
+            settings.early_ms,
+            settings.save_ms,
+            settings.restore_ms,
+            settings.stop_ms,
         )
+        self._overload_policies = overload_policies
         self._host_id = f"{settings.name}/{context.process_id}"
         self._ledger = WorkLedger()
         self._configuration = ServiceConfiguration()
@@ -109,6 +124,7 @@
         self._log_tail = None
         self._dispatcher = None
         self._worker_links = WorkerLinks(context, timer, platform, self.actor_ref)
+        self._worker_holds = None
         self._pending_appends = {}
         now_ms = context.clock.now_ms()
         self._election = LeaderElection(
@@ -119,7 +135,6 @@
         self._launches_paused_until_ms = 0
         self._resign_reply = None
         self._term_epoch = 0
-        self._hold_pacing = HoldPacing()
         self._term_records = TermRecords(context.clock, self._ledger, settings)
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
@@ -210,7 +225,7 @@
         now_ms = self._now_ms()
         self._execute_actions(self._dispatcher.update_workers(message.entries, now_ms))
         for worker_id in self._worker_links.open_missing(self._dispatcher.workers):
-            self._hold_worker(worker_id)
+            self._worker_holds.hold(worker_id)
         self._schedule_planning()
 
     @receive.register
@@ -230,14 +245,14 @@
             self._decision_log.log_found_run(*found_run)
         self._execute_actions(actions)
         self._execute_actions(self._dispatcher.take_end_records(now_ms))
-        self._hold_worker(message.worker_id)
+        self._worker_holds.hold(message.worker_id)
         if self._dispatcher.capacity_changed:
             self._schedule_planning()
 
     def recover(self, message):
         """Hold a worker again whose answer could not be applied."""
         if isinstance(message, HoldResponse) and self._dispatcher is not None:
-            self._hold_later(message.worker_id)
+            self._worker_holds.hold_later(message.worker_id)
 
     @receive.register
     def handle_order_response(self, message: OrderResponse):
@@ -305,7 +320,7 @@
             self._append_record(ActingBeat(self._ledger.epoch, self._host_id))
         self._append_records(self._term_records.due(self._dispatcher, now_ms))
         self._execute_actions(self._dispatcher.tick(now_ms))
-        self._resume_holds()
+        self._worker_holds.resume()
         self._schedule_planning()
 
     @receive.register
@@ -361,7 +376,7 @@
             return
         if isinstance(record, TasksEnded):
             self._dispatcher.confirm_ends(record.ends)
-            self._resume_holds()
+            self._worker_holds.resume()
         elif isinstance(record, RunsLaunched):
             now_ms = self._now_ms()
             self._execute_actions(
@@ -381,9 +396,19 @@
     def _begin_term(self):
         self._term_epoch = self._ledger.epoch
         self._term_records.begin_term()
-        self._hold_pacing = HoldPacing()
         self._dispatcher = Dispatcher(
-            self._ledger, self._time_limits, create_ordering_policy(), self._now_ms()
+            self._ledger,
+            self._time_limits,
+            create_ordering_policy(),
+            self._now_ms(),
+            self._overload_policies,
+        )
+        self._worker_holds = WorkerHolds(
+            self._context,
+            self._worker_links,
+            self._dispatcher,
+            lambda: self._election.may_send_orders(self._ledger, self._now_ms()),
+            self._ledger.epoch,
         )
         self._context.logger.info(
             "acting",
@@ -417,65 +442,13 @@
         self._election.note_fenced(self._ledger.epoch)
         self._end_term("a worker has seen a higher fence")
 
-    def _hold_worker(self, worker_id):
-        if not self._keep_or_drop_worker(worker_id):
-            return
-        now_ms = self._now_ms()
-        if self._hold_pacing.pauses(self._dispatcher.workers[worker_id], now_ms):
-            self._context.metrics.count("holds.paused")
-            return
-        if not self._election.may_send_orders(self._ledger, now_ms):
-            self._worker_links.hold_later(worker_id, self._ledger.epoch, 0, 0)
-            return
-        deadline_ms, acknowledged_upto = self._dispatcher.hold_parameters(
-            worker_id, now_ms
-        )
-        self._worker_links.hold(
-            worker_id,
-            self._ledger.epoch,
-            deadline_ms,
-            acknowledged_upto,
-            self._dispatcher.workers[worker_id].has_doubtful_runs,
-        )
-
-    def _resume_holds(self):
-        """Hold the workers whose next hold has waited for the record of an end."""
-        now_ms = self._now_ms()
-        for worker_id in self._hold_pacing.due(self._dispatcher.workers, now_ms):
-            self._hold_worker(worker_id)
-
-    def _keep_or_drop_worker(self, worker_id):
-        """Return whether to keep holding a worker; if not, drop its links.
-
-        A worker that is missing from the platform's list is held while it still has
-        runs under a lease, because the list loses entries when the platform's store is
-        unavailable.
-        """
-        worker = self._dispatcher.workers.get(worker_id)
-        if worker is not None and (worker.entry is not None or worker.assigned_runs):
-            return True
-        self._worker_links.drop(worker_id)
-        self._hold_pacing.forget(worker_id)
-        return False
-
     def _handle_hold_failure(self, worker_id, failure):
         if failure.reason == REASON_FENCE:
             self._end_fenced_term()
             return
         self._context.metrics.count("holds.failures")
         self._dispatcher.handle_hold_failure(worker_id)
-        self._hold_later(worker_id)
-
-    def _hold_later(self, worker_id):
-        """Hold a worker after a failure, without renewing its lease."""
-        if not self._keep_or_drop_worker(worker_id):
-            return
-        deadline_ms, acknowledged_upto = self._dispatcher.hold_parameters(
-            worker_id, self._now_ms(), answered=False
-        )
-        self._worker_links.hold_later(
-            worker_id, self._ledger.epoch, deadline_ms, acknowledged_upto
-        )
+        self._worker_holds.hold_later(worker_id)
 
     def _execute_actions(self, actions):
         for action in actions:
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -46,6 +46,7 @@
     StartRun,
     StopRun,
 )
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.work import EndKind, Resources, tasks_of_unit, unit_of_task
 from knapweedshed.models.work_records import Launched
 
@@ -66,10 +67,13 @@
 class Dispatcher:
     """Scheduling state of one epoch, from this host's claim to the next claim."""
 
-    def __init__(self, ledger, limits, work_order, now_ms):
+    def __init__(
+        self, ledger, limits, work_order, now_ms, policies=NO_OVERLOAD_POLICIES
+    ):
         self._ledger = ledger
         self._limits = limits
-        self._planner = UnitPlanner(work_order)
+        self._policies = policies
+        self._planner = UnitPlanner(work_order, limits, policies)
         self._workers = {}
         self._unit_runs = adopt_launches(ledger, self._workers, limits, now_ms)
         self._unrecorded_ends = UnrecordedEnds()
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -6,6 +6,7 @@
 from knapweedshed.decisions.failed_searches import FailedSearches
 from knapweedshed.decisions.free_capacity import FreeCapacity, RackCapacities
 from knapweedshed.decisions.preemption import PreemptionCandidate, choose_victims
+from knapweedshed.decisions.unit_runs import DEFAULT_TIME_LIMITS
 from knapweedshed.decisions.waiting import (
     URGENT_PRIORITY,
     collect_waiting_steps,
@@ -13,6 +14,7 @@
 )
 from knapweedshed.decisions.work_order import core_seconds
 from knapweedshed.models.dispatch_actions import Preempted
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.work import GANG_INDEX
 
 MS_PER_SECOND = 1_000
@@ -72,8 +74,12 @@
 class UnitPlanner:
     """Places waiting units in the order of a policy; preempts for urgent work."""
 
-    def __init__(self, ordering_policy):
+    def __init__(
+        self, ordering_policy, limits=DEFAULT_TIME_LIMITS, policies=NO_OVERLOAD_POLICIES
+    ):
         self._ordering_policy = ordering_policy
+        self._limits = limits
+        self._policies = policies
         self._rack_capacities = RackCapacities()
 
     def update_workers(self, entries):
--- a/knapweedshed/decisions/unit_runs.py
+++ b/knapweedshed/decisions/unit_runs.py
@@ -10,12 +10,19 @@
 
     `lease_ms` is the length of a worker's lease. `max_acting_without_log_ms` is how
     long a host may act after its last read of the log. `early_ms` is how early a due
-    job may start.
+    job may start. Workers save checkpoints every `save_ms` of work, resume from one in
+    `restore_ms`, and stop a run in `stop_ms`.
     """
 
     lease_ms: int = 6_000
     max_acting_without_log_ms: int = 10_000
     early_ms: int = 250
+    save_ms: int = 1_000
+    restore_ms: int = 0
+    stop_ms: int = 200
+
+
+DEFAULT_TIME_LIMITS = TimeLimits()
 
 
 class UnitRun(NamedTuple):
--- a/knapweedshed/platform/settings.py
+++ b/knapweedshed/platform/settings.py
@@ -6,10 +6,21 @@
 from knapweedshed.settings import parse_address
 
 MS_PER_SECOND = 1_000
+BYTES_PER_MB = 1 << 20
 LOG_LIMIT_SETTINGS = {
     "record_bytes": "log_record_bytes",
     "call_bytes": "log_append_bytes",
 }
+OPTIONAL_BOUNDS = {  # name in the file: (name in `HostSettings`, factor to its unit)
+    "save_s": ("save_ms", MS_PER_SECOND),
+    "restore_ms": ("restore_ms", 1),
+    "stop_ms": ("stop_ms", 1),
+    "evac_ms": ("evacuation_ms", 1),
+}
+OPTIONAL_LIMITS = {
+    "memory_mb": ("memory_bytes", BYTES_PER_MB),
+    "max_fds": ("max_descriptors", 1),
+}
 MIN_LOG_LIMIT_BYTES = 16_384  # a job with a description of 4,000 bytes, and its state
 
 
@@ -33,6 +44,11 @@
         limits["cores"] = cpu_share * _number(fields, "limits", "cores")
         if fields["limits"].get("link_mbps") is not None:
             limits["link_mbps"] = _number(fields, "limits", "link_mbps")
+        limits.update(_optional_numbers(fields, "limits", OPTIONAL_LIMITS))
+    if isinstance(fields, dict) and isinstance(fields.get("bounds"), dict):
+        limits.update(_optional_numbers(fields, "bounds", OPTIONAL_BOUNDS))
+    if isinstance(fields, dict) and isinstance(fields.get("zones"), dict):
+        limits["data_centres"] = tuple(str(name) for name in fields["zones"])
     platform_fields = fields.get("platform") if isinstance(fields, dict) else None
     for name, setting in LOG_LIMIT_SETTINGS.items():
         if isinstance(platform_fields, dict) and platform_fields.get(name) is not None:
@@ -71,6 +87,15 @@
     return value
 
 
+def _optional_numbers(fields, section, names):
+    """Return {setting: whole number} of those of `names` that the section has."""
+    return {
+        setting: int(_number(fields, section, name) * factor)
+        for name, (setting, factor) in names.items()
+        if fields[section].get(name) is not None
+    }
+
+
 def _size_bytes(fields, *names):
     value = int(_number(fields, *names))
     if value < MIN_LOG_LIMIT_BYTES:
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -52,6 +52,12 @@
 SETTINGS = (
     Setting("platform", "text", "fleet", "platform adapter, by registry name"),
     Setting("metrics_port", "count", 0, "port that serves metrics; 0: none"),
+    Setting(
+        "overload_policies",
+        "overload_policies",
+        "",
+        "policies for overload, separated by commas; empty: none",
+    ),
     Setting("statsd", "optional_address", "", "ip:port of statsd; empty: none"),
     Setting("log_level", "level", "info", "debug, info, warning or error"),
 )
@@ -74,7 +80,12 @@
         self._calls = CallsController.start(context, self._jobs)
         tell(self._jobs, UseCallsController(self._calls))
         self._scheduling = SchedulingController.start(
-            context, timer, platform, self._appender, settings
+            context,
+            timer,
+            platform,
+            self._appender,
+            settings,
+            context.settings.overload_policies,
         )
         self._platform = platform
         self._job_api_server = JobApiServer(
--- a/knapweedshed/settings.py
+++ b/knapweedshed/settings.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from knapweedshed.logs import LOG_LEVELS
+from knapweedshed.models.overload import create_overload_policies
 
 ENVIRONMENT_PREFIX = "KNAPWEEDSHED_"
 
@@ -144,6 +145,10 @@
     return tuple(_check_name(item) for item in items)
 
 
+def _parse_overload_policies(text):
+    return create_overload_policies(_parse_names(text) if text else ())
+
+
 def _parse_named_addresses(text):
     if not text:
         return ()
@@ -165,6 +170,7 @@
     "name": _check_name,
     "names": _parse_names,
     "optional_address": _check_optional_address,
+    "overload_policies": _parse_overload_policies,
     "places": _parse_named_addresses,
     "text": _parse_text,
     "url_address": _check_address,
