Tell a successor for how long the leases of the last term may hold

Traced on the untouched code: a successor that can't reach a worker waits for 10 s of acting without the log and one lease, 16.1 s, though its predecessor is back after 4 s and knows that the leases have expired.

A host whose term ends now records how long each of its leases may still hold, and the successor limits its wait to that. Ruled out: renewing too long, and the list of workers as proof, as a worker that is cut off runs on.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -46,6 +46,7 @@
     MAX_ACTING_WITHOUT_LOG_MS,
     LeaderElection,
 )
+from knapweedshed.decisions.predecessor_leases import PredecessorLeases
 from knapweedshed.decisions.record_parts import halve_record
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
@@ -71,6 +72,7 @@
     WORK_STREAM,
     ActingBeat,
     ActingClaimed,
+    ActingEnded,
     ActingResigned,
     RunsLaunched,
     TasksEnded,
@@ -117,6 +119,7 @@
             settings.stop_ms,
         )
         self._overload_policies = overload_policies
+        self._predecessor_leases = PredecessorLeases(self._time_limits)
         self._host_id = f"{settings.name}/{context.process_id}"
         self._ledger = WorkLedger()
         self._configuration = ServiceConfiguration()
@@ -179,6 +182,8 @@
             changed.extend(applied.changed_job_ids)
             self._note_epoch(applied.record, epoch)
             epoch = self._ledger.epoch
+            if isinstance(applied.record, ActingEnded):
+                self._predecessor_leases.note_term_ended(applied.record, now_ms)
             if isinstance(applied.record, (WorkAccepted, WorkSnapshot)):
                 described_jobs.append(applied.record.job.job_id)
             if self._pending_appends.pop(applied.record_id, None) is not None:
@@ -186,6 +191,7 @@
         self._update_role()
         if self._dispatcher is None:
             return
+        self._limit_leases()
         for record in own_records:
             self._handle_own_record(record)
         self._execute_actions(self._dispatcher.handle_changed_jobs(changed, now_ms))
@@ -303,6 +309,9 @@
             )
             self._settle_launches(message, verdict)
             return
+        if isinstance(pending.record, ActingEnded) and not message.final:
+            self._append_again(message.record_id, pending.record)
+            return
         del self._pending_appends[message.record_id]
         if message.final:
             self._handle_rejected_record(pending.record, message.reason)
@@ -363,9 +372,11 @@
 
     def _note_epoch(self, record, epoch_before):
         """Note what a record that was applied says about the acting scheduler."""
-        if getattr(record, "epoch", -1) == self._ledger.epoch:
+        is_heard = getattr(record, "epoch", -1) == self._ledger.epoch
+        if is_heard and not isinstance(record, ActingEnded):
             self._election.note_leader_heard(self._now_ms())
         if self._ledger.epoch != epoch_before:
+            self._predecessor_leases.note_epoch(self._ledger.epoch, self._now_ms())
             self._context.logger.info(
                 "role claimed",
                 extra={"epoch": self._ledger.epoch, "host": self._ledger.acting_host},
@@ -426,14 +437,21 @@
         self._context.logger.info(
             "not acting any more", extra={"epoch": self._term_epoch, "reason": reason}
         )
+        self._worker_links.drop_all()
+        leases = self._dispatcher.leases_left(self._now_ms())
         self._dispatcher = None
         self._pending_appends = {}
-        self._worker_links.drop_all()
+        self._append_record(ActingEnded(self._term_epoch, leases))
         tell(self._worker_feed, SetWorkerPolling(False))
         tell(self._log_tail, SetReadPause(STANDBY_READ_PAUSE_MS))
         if self._resign_reply is not None:
             self._resign_reply.set(True)
 
+    def _limit_leases(self):
+        lease_end_ms = self._predecessor_leases.lease_end_ms(self._ledger.epoch)
+        if lease_end_ms is not None:
+            self._dispatcher.limit_leases(lease_end_ms)
+
     def _end_fenced_term(self):
         """End the term because a worker has seen a higher fence.
 
@@ -478,8 +496,7 @@
         """Repeat, undo, split or give up launches whose append has failed."""
         record = self._pending_appends[message.record_id].record
         if verdict == LaunchVerdict.REPEAT:
-            again = self._create_append(message.record_id, json_text.dumps(record))
-            self._timer.after(LOG_RETRY_DELAY_MS, self._appender, again)
+            self._append_again(message.record_id, record)
             return
         del self._pending_appends[message.record_id]
         if verdict == LaunchVerdict.REJECTED:
@@ -491,6 +508,10 @@
         else:
             self._dispatcher.give_up_launches(record.launches)
 
+    def _append_again(self, record_id, record):
+        again = self._create_append(record_id, json_text.dumps(record))
+        self._timer.after(LOG_RETRY_DELAY_MS, self._appender, again)
+
     def _append_records(self, records):
         for record in records:
             self._append_record(record)
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -283,6 +283,16 @@
         self._unsettled_launches.give_up(launches, self._ledger.open_jobs)
         self.discard_launches(launches)
 
+    def leases_left(self, now_ms):
+        """Return (worker id, milliseconds left) of the leases that may still hold."""
+        left = ((name, w.lease_left_ms(now_ms)) for name, w in self._workers.items())
+        return tuple(item for item in left if item[1])
+
+    def limit_leases(self, lease_end_ms):
+        """Limit the leases of workers without an answer by a predecessor's word."""
+        for worker_id, worker in self._workers.items():
+            worker.limit_lease(lease_end_ms(worker_id))
+
     def tick(self, now_ms):
         """Update speeds, expire leases, repeat orders and records; return actions."""
         actions = []
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -176,6 +176,15 @@
         self._update_lease_expiry()
         return lease_end_clock_ms
 
+    def lease_left_ms(self, now_ms):
+        """Return for how long the lease may still hold; 0 without runs."""
+        return max(0, self._lease_expiry_ms - now_ms) if self.assigned_runs else 0
+
+    def limit_lease(self, lease_end_ms):
+        """Take an earlier end of the lease, unless the worker itself has answered."""
+        if not self.has_answered:
+            self._lease_expiry_ms = min(self._lease_expiry_ms, lease_end_ms)
+
     def update_entry(self, entry, now_ms):
         """Store an entry of the list; return the runs removed if the worker restarted.
 
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -90,6 +90,17 @@
     epoch: int
 
 
+class ActingEnded(NamedTuple):
+    """The acting scheduler of `epoch` renews no more leases.
+
+    `leases` has (worker id, milliseconds left) of each lease that may not have expired
+    yet. Workers that aren't in it have no run under a lease of this epoch.
+    """
+
+    epoch: int
+    leases: tuple[tuple[str, int], ...] = ()
+
+
 RECORD_TYPES = (
     WorkAccepted,
     WorkCancelled,
@@ -98,6 +109,7 @@
     RunsLaunched,
     ActingClaimed,
     ActingBeat,
+    ActingEnded,
     ActingResigned,
     SpeedsLearned,
     WorkSnapshot,
