Record the leases of all known workers at the end of a term

With no run left there, that worker was missing from the record of leases, so the successor took its lease for expired, and acknowledged the done end later.

The record now has each worker that the host knows, and any other worker may hold a whole lease. The new tests fail without the change.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -284,9 +284,11 @@
         self.discard_launches(launches)
 
     def leases_left(self, now_ms):
-        """Return (worker id, milliseconds left) of the leases that may still hold."""
-        left = ((name, w.lease_left_ms(now_ms)) for name, w in self._workers.items())
-        return tuple(item for item in left if item[1])
+        """Return (worker id, milliseconds) for how long each lease may still hold."""
+        return tuple(
+            (worker_id, worker.lease_left_ms(now_ms))
+            for worker_id, worker in self._workers.items()
+        )
 
     def limit_leases(self, lease_end_ms):
         """Limit the leases of workers without an answer by a predecessor's word."""
--- a/knapweedshed/decisions/predecessor_leases.py
+++ b/knapweedshed/decisions/predecessor_leases.py
@@ -61,9 +61,12 @@
         left_ms_by_worker = dict(self._ended.leases)
 
         def lease_end_ms(worker_id):
-            left_ms = _on_slow_clock_ms(left_ms_by_worker.get(worker_id, 0))
+            left_ms = left_ms_by_worker.get(worker_id, self._limits.lease_ms)
             return max(
-                earliest_ms, self._ended_read_ms + left_ms + LEASE_EXPIRY_MARGIN_MS
+                earliest_ms,
+                self._ended_read_ms
+                + _on_slow_clock_ms(left_ms)
+                + LEASE_EXPIRY_MARGIN_MS,
             )
 
         return lease_end_ms
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -177,8 +177,12 @@
         return lease_end_clock_ms
 
     def lease_left_ms(self, now_ms):
-        """Return for how long the lease may still hold; 0 without runs."""
-        return max(0, self._lease_expiry_ms - now_ms) if self.assigned_runs else 0
+        """Return for how long the lease may still hold.
+
+        A worker without assigned runs has a lease as well: an end that it listed may
+        not be acknowledged, and stands until the lease expires.
+        """
+        return max(0, self._lease_expiry_ms - now_ms)
 
     def limit_lease(self, lease_end_ms):
         """Take an earlier end of the lease, unless the worker itself has answered."""
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -93,8 +93,8 @@
 class ActingEnded(NamedTuple):
     """The acting scheduler of `epoch` renews no more leases.
 
-    `leases` has (worker id, milliseconds left) of each lease that may not have expired
-    yet. Workers that aren't in it have no run under a lease of this epoch.
+    `leases` has (worker id, milliseconds) for how long the lease of each known worker
+    may still hold, 0 if it has certainly expired. Other workers may hold a whole lease.
     """
 
     epoch: int
--- a/tests/test_predecessor_leases.py
+++ b/tests/test_predecessor_leases.py
@@ -11,7 +11,7 @@
 from knapweedshed.controllers.work_messages import OrderRequest
 from knapweedshed.decisions.predecessor_leases import PredecessorLeases
 from knapweedshed.decisions.tracked_workers import LEASE_EXPIRY_MARGIN_MS
-from knapweedshed.models.work import TaskRun
+from knapweedshed.models.work import EndKind, TaskEnd, TaskRun
 from knapweedshed.models.work_records import ActingClaimed, ActingEnded
 from tests.dispatch_harness import TIME_LIMITS, DispatchHarness, make_job
 from tests.scheduling_harness import SchedulingHarness
@@ -31,11 +31,15 @@
         self.assertIsNone(self.leases.lease_end_ms(3))
 
     def test_lease_ends_are_counted_from_the_reading_of_the_record(self):
-        self.leases.note_term_ended(ActingEnded(1, (("w1", 980),)), 51_000)
+        self.leases.note_term_ended(ActingEnded(1, (("w1", 980), ("w2", 0))), 51_000)
         lease_end_ms = self.leases.lease_end_ms(2)
         self.assertEqual(lease_end_ms("w1"), 52_000 + LEASE_EXPIRY_MARGIN_MS)
         self.assertEqual(lease_end_ms("w2"), 51_000 + LEASE_EXPIRY_MARGIN_MS)
 
+    def test_worker_that_the_predecessor_did_not_know_may_hold_a_whole_lease(self):
+        self.leases.note_term_ended(ActingEnded(1), 51_000)
+        self.assertGreater(self.leases.lease_end_ms(2)("w9"), 51_000 + 6_000)
+
     def test_hosts_before_the_predecessor_may_have_acted_until_after_its_claim(self):
         self.leases.note_epoch(3, 52_000)
         self.leases.note_term_ended(ActingEnded(2), 52_100)
@@ -110,6 +114,20 @@
         self.assertEqual(worker_id, "w0")
         self.assertTrue(5_900 < left_ms < 6_500, left_ms)
 
+    def test_lease_of_a_worker_whose_run_has_ended_is_recorded_too(self):
+        """Its end isn't acknowledged: a second run would start beside a done one."""
+        harness = SchedulingHarness(workers=1)
+        harness.accept(make_job())
+        harness.append(harness.plan())
+        (order,) = harness.connections.take(OrderRequest)
+        end = TaskEnd(1, order.order.task, order.order.run, EndKind.DONE)
+        harness.answer_hold("w0", ended=[end])
+        harness.appender.take(AppendRecord)
+        harness.read([ActingClaimed(2, "edge-2/x")])
+        self.harness = harness
+        ((_, ended),) = self.take_ended()
+        self.assertGreater(dict(ended.leases)["w0"], 5_900)
+
     def test_record_is_appended_again_after_a_failure(self):
         ((append, _),) = self.take_ended()
         sent = []
