Move a launch's worker check and two log lines out of the scheduling modules

Code is only moved: the check of a launch's workers to tracked_workers.py, two log lines to decision_log.py.

96 tests of test_work_dispatch, test_stale_decisions, test_record_sizes, test_late_appends, test_log_reachability and test_checks passed.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -1,5 +1,6 @@
 """Log lines for the decisions of the acting scheduler, with their reasons."""
 
+from knapweedshed.codecs import json_text
 from knapweedshed.decisions.units import critical_path_ms
 
 MAX_JOBS = 20  # ids in one line
@@ -40,6 +41,21 @@
             },
         )
 
+    def log_rejected_record(self, record, reason):
+        """Log a record that the log will never take."""
+        self._logger.error(
+            "record rejected by the log",
+            extra={
+                "record": type(record).__name__,
+                "reason": reason,
+                "content": str(record)[: json_text.MAX_REASON_CHARS],
+            },
+        )
+
+    def log_log_reachable(self, away_ms):
+        """Log that the log can be read again after `away_ms`."""
+        self._logger.info("log reachable again", extra={"away_ms": away_ms})
+
     def log_found_run(self, worker_id, task, run):
         """Log a run that a worker lists and that no launch record names."""
         self._context.metrics.count("runs.unrecorded")
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -166,11 +166,8 @@
         now_ms = self._now_ms()
         self._election.note_log_read(now_ms, message.caught_up)
         if self._log_unreadable_since_ms is not None:
-            unreadable_ms = now_ms - self._log_unreadable_since_ms
+            self._decision_log.log_log_reachable(now_ms - self._log_unreadable_since_ms)
             self._log_unreadable_since_ms = None
-            self._context.logger.info(
-                "log reachable again", extra={"away_ms": unreadable_ms}
-            )
         changed = []
         own_records = []
         described_jobs = []
@@ -517,14 +514,7 @@
 
     def _give_up_record(self, record, reason):
         """Log that the log can't take a record; its launches were never started."""
-        self._context.logger.error(
-            "record rejected by the log",
-            extra={
-                "record": type(record).__name__,
-                "reason": reason,
-                "content": str(record)[: json_text.MAX_REASON_CHARS],
-            },
-        )
+        self._decision_log.log_rejected_record(record, reason)
         if isinstance(record, RunsLaunched) and self._dispatcher is not None:
             self._dispatcher.discard_launches(record.launches)
             self._dispatcher.postpone_units(record.launches, self._now_ms())
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -29,8 +29,8 @@
     AssignedRun,
     RunPhase,
     TrackedWorker,
-    WorkerLife,
     needs_recording,
+    unchanged_workers,
 )
 from knapweedshed.decisions.unit_runs import UnitRun
 from knapweedshed.decisions.units import ready_units, step_of
@@ -508,13 +508,9 @@
 
     def _is_outdated(self, unit_run, launched, now_ms):
         """Return whether a launch is on workers that may not take it any more."""
-        workers = []
-        for worker_id, incarnation in launched.workers:
-            worker = self._workers.get(worker_id)
-            planned_life = WorkerLife(incarnation, leaving=False)
-            if worker is None or worker.life != planned_life:
-                return True
-            workers.append(worker)
+        workers = unchanged_workers(launched, self._workers)
+        if not workers:
+            return True
         if now_ms - unit_run.started_ms <= MAX_LAUNCH_AGE_MS:
             return False
         accepted = all(worker.accepts_work(now_ms) for worker in workers)
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -365,6 +365,17 @@
     return Resources(cpu_milli, memory_mb, accelerators)
 
 
+def unchanged_workers(launched, workers):
+    """Return the `TrackedWorker`s of a launch, or () if one left or started anew."""
+    found = []
+    for worker_id, incarnation in launched.workers:
+        worker = workers.get(worker_id)
+        if worker is None or worker.life != WorkerLife(incarnation, leaving=False):
+            return ()
+        found.append(worker)
+    return tuple(found)
+
+
 def needs_recording(end: TaskEnd):
     """Return whether an end changes the state of its job in the log."""
     return bool(end.saved) or end.kind in (EndKind.DONE, EndKind.FAILED)
