Start nothing in evacuated data centres: the decision and the dispatcher

Until now an acting scheduler knew of no evacuation. It places nothing in an evacuated data centre, discards launches there that are not read back yet, withdraws starts that wait, and stops a start that is unanswered instead of sending it again. It starts nothing at all by evacuations that were read longer ago than half of the time limit, or never. Racks in an evacuated data centre don't count as room for a gang.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,6 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
+from knapweedshed.decisions.evacuation import NO_EVACUATIONS, give_up_starts
 from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
     HANG_QUARANTINE_MS,
@@ -81,6 +82,7 @@
         self._pause_detector = PauseDetector(MAX_TICK_GAP_MS)
         self._nothing_expires_until_ms = now_ms
         self._configuration = None
+        self._evacuations = NO_EVACUATIONS
         self._workers_listed_ms = None
         self._speeds = WorkerSpeeds(
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
@@ -115,10 +117,20 @@
         """Use a newer configuration."""
         self._configuration = configuration
 
+    def apply_evacuations(self, evacuations, now_ms):
+        """Use newer `Evacuations`; return actions."""
+        earlier, self._evacuations = self._evacuations, evacuations
+        units, actions = give_up_starts(
+            earlier, evacuations, self._workers, self._unit_runs
+        )
+        for unit in units:
+            self._stop_unit_run(unit, now_ms)
+        return actions
+
     def update_workers(self, entries, now_ms):
         """Apply the platform's complete list of workers; return orders."""
         self._workers_listed_ms = now_ms
-        self._planner.update_workers(entries)
+        self._planner.update_workers(self._evacuations.usable_entries(entries))
         listed = set()
         orders = []
         for entry in entries:
@@ -210,6 +222,7 @@
         if (
             outcome.kind == ORDER_UNKNOWN
             and assigned_run.start_attempts < MAX_START_ATTEMPTS_COUNT
+            and self._evacuations.allow_starts((worker,), now_ms)
         ):
             worker.assigned_runs[key] = assigned_run._replace(
                 start_attempts=assigned_run.start_attempts + 1
@@ -323,7 +336,7 @@
     def plan(self, now_ms, wall_ms):
         """Return the preemptions with their stops, and the launches to record."""
         self._capacity_changed = False
-        if self._configuration is None or not self._is_list_recent(now_ms):
+        if self._configuration is None or not self._may_place_work(now_ms):
             return []
         unsettled = self._units_with_unrecorded_ends() | self._units_found_running()
         waiting_units = [
@@ -353,7 +366,8 @@
                 self._avoided_workers,
                 now_ms,
                 wall_ms,
-                self._silence_observer.silent_data_centres,
+                self._silence_observer.silent_data_centres
+                | self._evacuations.data_centres,
             )
         )
         actions = []
@@ -391,9 +405,9 @@
         lease_end_clock_ms = worker.extend_lease(now_ms, self._limits.lease_ms)
         return lease_end_clock_ms, worker.last_acknowledgeable_end
 
-    def _is_list_recent(self, now_ms):
-        """Return whether the list of workers is new enough to place work by it."""
-        if self._workers_listed_ms is None:
+    def _may_place_work(self, now_ms):
+        """Return whether the workers and evacuations were read recently enough."""
+        if self._workers_listed_ms is None or not self._evacuations.are_known(now_ms):
             return False
         return now_ms - self._workers_listed_ms <= MAX_LIST_AGE_MS
 
@@ -509,12 +523,12 @@
     def _is_outdated(self, unit_run, launched, now_ms):
         """Return whether a launch is on workers that may not take it any more."""
         workers = unchanged_workers(launched, self._workers)
-        if not workers:
+        if not (workers and self._evacuations.allow_starts(workers, now_ms)):
             return True
         if now_ms - unit_run.started_ms <= MAX_LAUNCH_AGE_MS:
             return False
         accepted = all(worker.accepts_work(now_ms) for worker in workers)
-        return not (accepted and self._is_list_recent(now_ms))
+        return not (accepted and self._may_place_work(now_ms))
 
     def _units_with_unrecorded_ends(self):
         """Return the units with an end that a worker listed and the log lacks."""
--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -33,7 +33,7 @@
     """Capacity that is free now, and once all stops under way have ended."""
 
     def __init__(
-        self, workers, runs, speeds, avoided_workers, now_ms, silent_data_centres=()
+        self, workers, runs, speeds, avoided_workers, now_ms, closed_data_centres=()
     ):
         self._avoided_workers = avoided_workers
         self._now_ms = now_ms
@@ -42,7 +42,7 @@
             worker_id: worker
             for worker_id, worker in workers.items()
             if worker.accepts_work(now_ms)
-            and worker.entry.data_centre not in silent_data_centres
+            and worker.entry.data_centre not in closed_data_centres
         }
         self._traits = []
         self._free_now = {}
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -52,9 +52,9 @@
     `waiting_since_ms` has when each (job id, occurrence, step) was first seen waiting.
     `preemption_claims` has the places that others were preempted for.
     `avoided_workers` has, for each unit, the workers that it avoids and until when.
-    `runs` has the `UnitRun`s by unit. Nothing is placed in `silent_data_centres`. Times
-    are in milliseconds; `wall_ms` is on the wall clock, the others are on the monotonic
-    clock.
+    `runs` has the `UnitRun`s by unit. Nothing is placed in `closed_data_centres`, which
+    are silent or evacuated. Times are in milliseconds; `wall_ms` is on the wall clock,
+    the others are on the monotonic clock.
     """
 
     waiting_units: list
@@ -68,7 +68,7 @@
     avoided_workers: dict
     now_ms: int
     wall_ms: int
-    silent_data_centres: frozenset = frozenset()
+    closed_data_centres: frozenset = frozenset()
 
 
 class UnitPlanner:
@@ -106,7 +106,7 @@
             planning_input.speeds,
             planning_input.avoided_workers,
             planning_input.now_ms,
-            planning_input.silent_data_centres,
+            planning_input.closed_data_centres,
         )
         self._starts = []
         self._preempted = []
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -34,6 +34,17 @@
     worker_id: str
 
 
+class StartsGivenUp(NamedTuple):
+    """Starts that an evacuation prevents.
+
+    `units` have a launch that is not read back yet; `worker_ids` are workers with
+    starts that wait or are not answered.
+    """
+
+    units: tuple[Unit, ...]
+    worker_ids: tuple[str, ...]
+
+
 class RecordTaskEnds(NamedTuple):
     """Write ends to the log; workers are asked to discard them only after that."""
 
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -1,6 +1,7 @@
 """Builders, and a dispatcher with simulated workers for tests without a network."""
 
 from knapweedshed.decisions.dispatch import Dispatcher
+from knapweedshed.decisions.evacuation import NO_EVACUATIONS
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import create_ordering_policy
@@ -12,6 +13,7 @@
     RecordTaskEnds,
     RunLost,
     StartRun,
+    StartsGivenUp,
     WithdrawStarts,
     WorkerHung,
 )
@@ -38,6 +40,7 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
+EVENTS = (Preempted, RunLost, WorkerHung, WithdrawStarts, StartsGivenUp)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
@@ -63,7 +66,7 @@
     )
 
 
-def make_entry(number, rack="r1-1", incarnation=1, draining=False):
+def make_entry(number, rack="r1-1", incarnation=1, draining=False, **fields):
     """Return the entry of worker w<number> in the platform's list."""
     return WorkerEntry(
         f"w{number}",
@@ -74,7 +77,7 @@
         CAPACITY,
         ("a", rack),
         incarnation,
-    )
+    )._replace(**fields)
 
 
 class DispatchHarness:
@@ -116,10 +119,11 @@
         """Append the acceptance of a job to the log."""
         self.append_record(WorkAccepted(job))
 
-    def start_term(self, guaranteed=0):
+    def start_term(self, guaranteed=0, evacuations=NO_EVACUATIONS):
         """Claim the next epoch and start a term with a new dispatcher.
 
-        The organisation is guaranteed `guaranteed` accelerators.
+        The organisation is guaranteed `guaranteed` accelerators; `evacuations` are
+        what this host has read so far.
         """
         self.epoch += 1
         self.append_record(ActingClaimed(self.epoch, f"host{self.epoch}"))
@@ -128,6 +132,7 @@
         )
         configured = ConfiguredOrganisation("sahel", ("key",), guaranteed)
         self.dispatcher.configure(ServiceConfiguration(1, (), (configured,)))
+        self.dispatcher.apply_evacuations(evacuations, self.now_ms)
         self.apply_worker_list()
         self.hold_all()
 
@@ -207,7 +212,7 @@
                 self.apply_actions(
                     self.dispatcher.handle_changed_jobs(changed, self.now_ms)
                 )
-            elif isinstance(action, (Preempted, RunLost, WorkerHung, WithdrawStarts)):
+            elif isinstance(action, EVENTS):
                 self.records.append(action)
             else:
                 self._send_order(action)
