Follow evacuations in the operator's topic, and obey them while acting

The feed of the configuration reads the keys evacuate/NAME of the same topic. Each successful read tells the scheduling controller the names and when it was sent, on every host, so that a host that takes over knows them. Malformed records and unknown names are logged and change nothing. A start is sent only while the last read allows it, and its lease ends before the time limit, so that a start that the network delays is refused.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -4,6 +4,7 @@
 from knapweedshed.decisions.units import critical_path_ms
 
 MAX_JOBS = 20  # ids in one line
+MAX_WORKERS = 20  # ids in one line
 
 
 class DecisionLog:
@@ -97,6 +98,18 @@
             },
         )
 
+    def log_starts_given_up(self, given_up):
+        """Log the launches and the waiting starts that an evacuation prevents."""
+        self._context.metrics.count("evacuations.launches", len(given_up.units))
+        self._logger.info(
+            "starts given up",
+            extra={
+                "jobs": sorted({unit.job_id for unit in given_up.units})[:MAX_JOBS],
+                "launches": len(given_up.units),
+                "workers": list(given_up.worker_ids[:MAX_WORKERS]),
+            },
+        )
+
     def log_lost_run(self, lost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
         self._context.metrics.count(f"runs.{lost.kind}")
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -10,6 +10,7 @@
 from knapweedshed.codecs import json_text
 from knapweedshed.controllers.base import Controller
 from knapweedshed.controllers.decision_log import DecisionLog
+from knapweedshed.controllers.evacuation_state import EvacuationState
 from knapweedshed.controllers.messages import (
     AppendDone,
     AppendFailed,
@@ -22,6 +23,7 @@
 )
 from knapweedshed.controllers.term_records import TermRecords
 from knapweedshed.controllers.work_messages import (
+    EvacuationsRead,
     HoldResponse,
     OrderRequest,
     OrderResponse,
@@ -61,6 +63,7 @@
     RecordLaunches,
     RecordTaskEnds,
     RunLost,
+    StartsGivenUp,
     WithdrawStarts,
     WorkerHung,
 )
@@ -138,6 +141,7 @@
         self._term_records = TermRecords(context.clock, self._ledger, settings)
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
+        self._evacuations = EvacuationState(context, settings.evacuation_ms)
         self._planning_scheduled = False
         self._plan_delay_ms = MIN_PLAN_DELAY_MS
 
@@ -160,6 +164,14 @@
             self._dispatcher.configure(message.configuration)
             self._schedule_planning()
 
+    @receive.register
+    def update_evacuations(self, message: EvacuationsRead):
+        """Start nothing in evacuated data centres from now on."""
+        self._evacuations.update(message)
+        if self._dispatcher is not None:
+            known, now_ms = self._evacuations.known, self._now_ms()
+            self._execute_actions(self._dispatcher.apply_evacuations(known, now_ms))
+
     @receive.register
     def apply_records(self, message: RecordsRead):
         """Apply a page of records, and act on this host's own records among them."""
@@ -345,17 +357,13 @@
 
     def dump(self):
         """Return whether this host acts, and the number of runs on each worker."""
-        workers = {}
-        if self._dispatcher is not None:
-            workers = {
-                name: len(worker.assigned_runs)
-                for name, worker in self._dispatcher.workers.items()
-            }
+        workers = self._dispatcher.workers if self._dispatcher is not None else {}
         return {
             "host": self._host_id,
             "acts": self._dispatcher is not None,
             "epoch": self._ledger.epoch,
-            "workers": workers,
+            "workers": {name: len(w.assigned_runs) for name, w in workers.items()},
+            "evacuations": self._evacuations.dump(self._now_ms()),
         }
 
     def _note_epoch(self, record, epoch_before):
@@ -414,6 +422,7 @@
                 "taken_up": len(self._dispatcher.runs),
             },
         )
+        self._dispatcher.apply_evacuations(self._evacuations.known, self._now_ms())
         if self._configuration.version >= 0:
             self._dispatcher.configure(self._configuration)
         tell(self._worker_feed, SetWorkerPolling(True))
@@ -460,10 +469,14 @@
                 self._decision_log.log_lost_run(action)
             elif isinstance(action, WorkerHung):
                 self._decision_log.log_worker_hang(action)
+            elif isinstance(action, StartsGivenUp):
+                self._decision_log.log_starts_given_up(action)
             elif isinstance(action, WithdrawStarts):
                 self._worker_links.withdraw_starts(action.worker_id)
             elif self._election.may_send_orders(self._ledger, self._now_ms()):
-                valid_until_ms = self._now_ms() + MAX_START_WAIT_MS
+                valid_until_ms = self._evacuations.known.latest_send_ms(
+                    self._now_ms() + MAX_START_WAIT_MS
+                )
                 self._worker_links.order(
                     OrderRequest(action, self._ledger.epoch, valid_until_ms)
                 )
--- a/knapweedshed/controllers/work_messages.py
+++ b/knapweedshed/controllers/work_messages.py
@@ -34,6 +34,13 @@
     configuration: ServiceConfiguration
 
 
+class EvacuationsRead(NamedTuple):
+    """The names of all evacuated data centres, by a read sent at `read_ms`."""
+
+    data_centres: frozenset[str]
+    read_ms: int
+
+
 class WorkersListed(NamedTuple):
     """The platform's complete list of workers."""
 
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -443,10 +443,9 @@
         """Yield the start orders of a run, each with an extended lease."""
         progress = self._ledger.jobs[unit_run.unit.job_id]
         _, saved = progress.saved.get(unit_run.unit, (0, ""))
+        lease_ms = self._evacuations.start_lease_ms(self._limits.lease_ms, now_ms)
         for task, worker_id in unit_run.workers_by_task.items():
-            lease_end_clock_ms = self._workers[worker_id].extend_lease(
-                now_ms, self._limits.lease_ms
-            )
+            lease_end_clock_ms = self._workers[worker_id].extend_lease(now_ms, lease_ms)
             yield StartRun(
                 worker_id,
                 task,
--- a/knapweedshed/decisions/evacuation.py
+++ b/knapweedshed/decisions/evacuation.py
@@ -12,9 +12,11 @@
 
 # Shares of the time limit, counted from when the evacuations were last read. Of 5,000
 # ms the first leaves 1 s to wait behind other orders, the second 1.5 s for a connection
-# (500 ms) and an exchange (600 ms).
+# (500 ms) and an exchange (600 ms). The third leaves 500 ms for a worker's clock that
+# runs slow, and for the age of its last answer.
 MAX_READ_AGE_SHARE = 0.5
 MAX_SEND_AGE_SHARE = 0.7
+MAX_START_AGE_SHARE = 0.9
 
 
 class Evacuations(NamedTuple):
@@ -57,6 +59,17 @@
             return latest_ms
         return min(latest_ms, self.read_ms + int(self.limit_ms * MAX_SEND_AGE_SHARE))
 
+    def start_lease_ms(self, lease_ms, now_ms):
+        """Return the lease that a start ordered now brings: `lease_ms`, or less.
+
+        A worker refuses a start whose lease has ended, so the network can't deliver one
+        after the time limit. Holds extend the lease.
+        """
+        if not self.limit_ms or self.read_ms is None:
+            return lease_ms
+        left_ms = self.read_ms + int(self.limit_ms * MAX_START_AGE_SHARE) - now_ms
+        return min(lease_ms, left_ms)
+
     def usable_entries(self, entries):
         """Return the worker entries outside of the evacuated data centres."""
         if not self.data_centres:
--- a/knapweedshed/links/feeds.py
+++ b/knapweedshed/links/feeds.py
@@ -5,6 +5,7 @@
 from knapweedshed.actors import Actor, tell
 from knapweedshed.controllers.messages import Tick
 from knapweedshed.controllers.work_messages import (
+    EvacuationsRead,
     ServiceConfigurationUpdated,
     SetWorkerPolling,
     WorkersListed,
@@ -13,17 +14,34 @@
 
 CONFIGURATION_WAIT_MS = 1_000  # short, so that a dead connection is noticed soon
 CONFIGURATION_RETRY_DELAY_MS = 250
+# In parts of the time limit of an evacuation. Work starts by evacuations that were read
+# in the last half of it, and a read sent after another one ends two waits after that.
+EVACUATION_WAIT_DIVISOR = 10
+MIN_EVACUATION_WAIT_MS = 50
 WORKER_LIST_PERIOD_MS = 300  # a leaving worker must be noticed within 2 s
 
 
 class ConfigurationFeedLink(Actor):
-    """Polls the configuration continuously and sends new versions to its receivers."""
-
-    def __init__(self, context, feed, timer, receivers):
+    """Polls the configuration continuously and sends new versions to its receivers.
+
+    `evacuation_receiver`, if any, is told the evacuated data centres after each read.
+    """
+
+    def __init__(
+        self,
+        context,
+        feed,
+        timer,
+        receivers,
+        evacuation_receiver=None,
+        wait_ms=CONFIGURATION_WAIT_MS,
+    ):
         super().__init__(context)
         self._feed = feed
         self._timer = timer
         self._receivers = receivers
+        self._evacuation_receiver = evacuation_receiver
+        self._wait_ms = wait_ms
         self._unreachable = False
 
     def on_start(self):
@@ -42,7 +60,8 @@
     @receive.register
     def poll(self, message: Tick):
         """Wait once for a newer configuration and pass it on."""
-        result = self._feed.read(CONFIGURATION_WAIT_MS)
+        sent_ms = self._context.clock.now_ms()
+        result = self._feed.read(self._wait_ms)
         if isinstance(result, FAILURE_TYPES):
             self._report_unreachable(result.reason)
             self._timer.after(CONFIGURATION_RETRY_DELAY_MS, self.actor_ref, Tick())
@@ -50,6 +69,9 @@
         if self._unreachable:
             self._unreachable = False
             self._context.logger.info("configuration reachable again")
+        if self._evacuation_receiver is not None:
+            names = self._feed.evacuated_data_centres
+            tell(self._evacuation_receiver, EvacuationsRead(names, sent_ms))
         if result is not None:
             self._context.logger.info(
                 "configuration in force", extra={"version": result.version}
@@ -115,3 +137,14 @@
         """Read the list again later."""
         if self._poll_scheduled:
             self._timer.after(WORKER_LIST_PERIOD_MS, self.actor_ref, Tick())
+
+
+def configuration_wait_ms(evacuation_ms):
+    """Return how long a read of the configuration may wait for a change.
+
+    `evacuation_ms` is the time limit of an evacuation, or 0 without evacuations.
+    """
+    if not evacuation_ms:
+        return CONFIGURATION_WAIT_MS
+    wait_ms = max(MIN_EVACUATION_WAIT_MS, evacuation_ms // EVACUATION_WAIT_DIVISOR)
+    return min(CONFIGURATION_WAIT_MS, wait_ms)
--- a/knapweedshed/links/service.py
+++ b/knapweedshed/links/service.py
@@ -55,13 +55,23 @@
 
 
 class ConfigurationFeed(ABC):
-    """The service configuration that operators publish."""
+    """What operators publish: the service configuration, and evacuations."""
+
+    @property
+    @abstractmethod
+    def evacuated_data_centres(self):
+        """Return the names as of the last successful read.
+
+        None before the first complete read. After a failure the names stay as they
+        were. Names that aren't data centres of the deployment are left out.
+        """
 
     @abstractmethod
     def read(self, wait_ms):
         """Return a newer `ServiceConfiguration`, None if there is none, or a failure.
 
-        Waits up to `wait_ms` for a change.
+        Waits up to `wait_ms` for a change. A read without a failure returns all that
+        was published before it was sent.
         """
 
     @abstractmethod
--- a/knapweedshed/platform/adapter.py
+++ b/knapweedshed/platform/adapter.py
@@ -19,6 +19,7 @@
         self._clock = clock
         self._logger = logger
         self._store_address = ""
+        self._data_centres = ()
 
     def settings(self):
         """Return `HostSettings` from the settings file.
@@ -32,6 +33,7 @@
                 f"{SETTINGS_VARIABLE} is not set; expected the path of a settings file"
             )
         settings, self._store_address = load_settings_file(path)
+        self._data_centres = settings.data_centres
         return settings
 
     def work_log(self):
@@ -44,7 +46,9 @@
 
     def configuration_feed(self):
         """Return the feed of the operator's configuration."""
-        return StoreConfigurationFeed(self._clock, self._store_address, self._logger)
+        return StoreConfigurationFeed(
+            self._clock, self._store_address, self._logger, self._data_centres
+        )
 
     def worker_feed(self):
         """Return the feed of the entries that workers write to the store."""
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -21,8 +21,10 @@
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
+EVACUATION_KEY_PREFIX = "evacuate/"  # followed by the name of a data centre
 MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
 MAX_WORKER_ID_CHARS = 200
+MAX_DATA_CENTRE_CHARS = 200
 MAX_UNREADABLE_COUNT = 1_000  # keys whose last reason is remembered
 WORKER_STATES = ("ready", "draining")
 
@@ -78,11 +80,22 @@
 
 
 class StoreConfigurationFeed(ConfigurationFeed):
-    """Feed of the operator's configuration; logs and skips invalid versions."""
+    """Feed of the operator's topic; logs and skips invalid records.
 
-    def __init__(self, clock, address, logger):
+    `data_centres` has the names that can be evacuated; any name if it is empty, as with
+    settings that don't list them.
+    """
+
+    def __init__(self, clock, address, logger, data_centres=()):
         self._topic = KeyedTopic(clock, address, OPERATOR_TOPIC)
         self._logger = logger
+        self._data_centres = data_centres
+        self._evacuated = None
+
+    @property
+    def evacuated_data_centres(self):
+        """Return the names as of the last successful read, None before the first."""
+        return self._evacuated
 
     def read(self, wait_ms):
         """Return a newer `ServiceConfiguration`, None if there is none, or a failure.
@@ -92,7 +105,9 @@
         result = self._topic.read_changes(wait_ms)
         if isinstance(result, FAILURE_TYPES):
             return result
-        value = result[0].get(CONFIGURATION_KEY)
+        values, is_complete = result
+        self._update_evacuations(values, is_complete)
+        value = values.get(CONFIGURATION_KEY)
         if not value:
             return None
         try:
@@ -108,6 +123,33 @@
         """Close the connection."""
         self._topic.close()
 
+    def _update_evacuations(self, values, is_complete):
+        """Apply the records of evacuations among {key: value}.
+
+        An evacuation ends by a record without a value, or by its absence from a
+        complete list. A record that can't be read leaves its data centre as it was.
+        """
+        earlier = self._evacuated or frozenset()
+        evacuated = set() if is_complete else set(earlier)
+        for key, value in values.items():
+            if not key.startswith(EVACUATION_KEY_PREFIX):
+                continue
+            name = key.removeprefix(EVACUATION_KEY_PREFIX)
+            try:
+                check_evacuation(name, value, self._data_centres)
+            except DECODE_ERRORS as error:
+                reason = repr(error)[: json_text.MAX_REASON_CHARS]
+                self._logger.warning(
+                    "evacuation unreadable", extra={"record": key, "reason": reason}
+                )
+                evacuated.update({name} & earlier)
+                continue
+            if value:
+                evacuated.add(name)
+            else:
+                evacuated.discard(name)
+        self._evacuated = frozenset(evacuated)
+
 
 class StoreWorkerFeed(WorkerFeed):
     """Feed of the entries that workers write about themselves."""
@@ -192,6 +234,16 @@
     )
 
 
+def check_evacuation(name, value, data_centres):
+    """Check a record that evacuates `name`; raises one of `DECODE_ERRORS`."""
+    if not 0 < len(parse_text(name)) <= MAX_DATA_CENTRE_CHARS:
+        raise ValueError(f"expected a name of {MAX_DATA_CENTRE_CHARS} characters")
+    if data_centres and name not in data_centres:
+        raise ValueError("no data centre of the settings has this name")
+    if value and not isinstance(json_text.loads(value), dict):
+        raise TypeError("expected a JSON object")
+
+
 def decode_worker(worker_id, fields):
     """Return the `WorkerEntry`; raises one of `DECODE_ERRORS`.
 
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -29,7 +29,11 @@
     UseWorkerFeed,
 )
 from knapweedshed.links.fanout import Fanout
-from knapweedshed.links.feeds import ConfigurationFeedLink, WorkerFeedLink
+from knapweedshed.links.feeds import (
+    ConfigurationFeedLink,
+    WorkerFeedLink,
+    configuration_wait_ms,
+)
 from knapweedshed.links.log import LogAppender, LogTail
 from knapweedshed.links.service import create_service_platform
 from knapweedshed.links.work_front import JobApiServer, MetricsServer
@@ -123,6 +127,8 @@
             platform.configuration_feed(),
             timer,
             (self._calls, self._jobs, self._scheduling),
+            self._scheduling if self._settings.evacuation_ms else None,
+            configuration_wait_ms(self._settings.evacuation_ms),
         )
         worker_feed = WorkerFeedLink.start(
             context, platform.worker_feed(), timer, self._scheduling
