Rank cold workers as slow in placement

Workers of a data centre that comes back from an evacuation are idle and attracted work that ended late there. cold_left_ms in a worker's entry now makes it the last choice until that time has passed, counted from the first read of the entry. Speeds are not learned from runs that began on a cold worker. An invalid time is logged and the worker kept. Entries without the field are ranked as before.

--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from knapweedshed.decisions.cold_workers import ranked_speed
 from knapweedshed.decisions.failed_searches import FailedSearches, SearchKey
 from knapweedshed.decisions.packing import (
     WorkerCapacity,
@@ -50,7 +51,7 @@
         for worker_id, worker in self._workers.items():
             entry = worker.entry
             rack = rack_of(entry.labels)
-            speed = speeds.speed(worker_id)
+            speed = ranked_speed(entry, speeds.speed(worker_id), now_ms)
             self._traits.append(
                 WorkerTraits(worker_id, entry.service, rack, entry.labels, speed)
             )
--- a/knapweedshed/decisions/speed_observer.py
+++ b/knapweedshed/decisions/speed_observer.py
@@ -48,6 +48,8 @@
             return
         if unit_run.adopted or self._may_be_slowed_by_racks(step, unit_run):
             return
+        if unit_run.started_ms < worker.entry.cold_until_ms:
+            return
         if step.gang and percent >= COMPLETE_PERCENT:
             return
         self._speeds.observe(
--- a/knapweedshed/models/work.py
+++ b/knapweedshed/models/work.py
@@ -179,7 +179,8 @@
 class WorkerEntry(NamedTuple):
     """A worker as the platform lists it.
 
-    `incarnation` changes whenever the worker restarts.
+    `incarnation` changes whenever the worker restarts. The worker is cold, and slow,
+    until `cold_until_ms` on this host's monotonic clock; 0 if it isn't cold.
     """
 
     worker_id: str
@@ -191,6 +192,7 @@
     labels: tuple[str, ...]
     incarnation: int
     remaining_ms: int = 0
+    cold_until_ms: int = 0
 
 
 class HoldAnswer(NamedTuple):
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -25,7 +25,9 @@
 MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
 MAX_WORKER_ID_CHARS = 200
 MAX_DATA_CENTRE_CHARS = 200
+MAX_COLD_LEFT_MS = 3_600_000
 MAX_UNREADABLE_COUNT = 1_000  # keys whose last reason is remembered
+COLD_LEFT_FIELD = "cold_left_ms"
 WORKER_STATES = ("ready", "draining")
 
 
@@ -156,8 +158,10 @@
 
     def __init__(self, clock, address, logger):
         self._topic = KeyedTopic(clock, address, SERVERS_TOPIC)
+        self._clock = clock
         self._logger = logger
         self._entries = {}
+        self._cold_workers = {}
         self._unreadable = {}
 
     def read(self):
@@ -168,10 +172,14 @@
         values, is_complete = result
         if is_complete:
             self._entries = {}
+            self._cold_workers = {
+                key: known for key, known in self._cold_workers.items() if key in values
+            }
         for key, value in values.items():
-            entry = self._decode(key, value) if value else None
+            entry = self._decode(key, value, is_complete) if value else None
             if entry is None:
                 self._entries.pop(key, None)
+                self._cold_workers.pop(key, None)
             else:
                 self._entries[key] = entry
         return tuple(self._entries.values())
@@ -180,14 +188,41 @@
         """Close the connection."""
         self._topic.close()
 
-    def _decode(self, key, value):
+    def _decode(self, key, value, may_be_known):
+        """Return the `WorkerEntry`, or None; `may_be_known` if it may not be new."""
         try:
-            entry = decode_worker(key, json_text.loads(value))
+            fields = json_text.loads(value)
+            entry = decode_worker(key, fields)
         except DECODE_ERRORS as error:
             self._log_unreadable(key, repr(error)[: json_text.MAX_REASON_CHARS])
             return None
         self._unreadable.pop(key, None)
-        return entry
+        if COLD_LEFT_FIELD not in fields:
+            return entry
+        return entry._replace(
+            cold_until_ms=self._cold_until_ms(key, value, fields, may_be_known)
+        )
+
+    def _cold_until_ms(self, key, value, fields, may_be_known):
+        """Return until when a worker is cold, counted from the first read of its entry.
+
+        An invalid time is logged and has no other effect.
+        """
+        known_value, until_ms = self._cold_workers.get(key, (b"", 0))
+        if may_be_known and value == known_value:
+            return until_ms
+        until_ms = 0
+        try:
+            left_ms = parse_cold_time(fields[COLD_LEFT_FIELD])
+        except DECODE_ERRORS as error:
+            reason = repr(error)[: json_text.MAX_REASON_CHARS]
+            self._logger.warning(
+                "cold time unreadable", extra={"worker": key, "reason": reason}
+            )
+        else:
+            until_ms = self._clock.now_ms() + left_ms if left_ms else 0
+        self._cold_workers[key] = (value, until_ms)
+        return until_ms
 
     def _log_unreadable(self, key, reason):
         """Log an entry once for as long as it can't be read for the same reason."""
@@ -271,6 +306,14 @@
     )
 
 
+def parse_cold_time(value):
+    """Return for how long a worker stays cold, in ms; raises one of `DECODE_ERRORS`."""
+    left_ms = parse_whole_number(value)
+    if left_ms > MAX_COLD_LEFT_MS:
+        raise ValueError(f"expected a number from 0 to {MAX_COLD_LEFT_MS}")
+    return left_ms
+
+
 def decode_resources(fields):
     """Return `Resources`, with 0 for missing fields; raises one of `DECODE_ERRORS`."""
     return Resources(
