Soak: evacuations of a data centre, checked at each start

A fault beside the others writes evacuate/NAME to the store and removes it 3 to 12 s later; each worker checks, also for starts carried out late, that none comes more than 5,000 ms after the record.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,7 @@
 from tests.fleet_standin import AppendFault, FakeStore
 from tests.ports import server_ports
 from tests.proxy import Fault, Proxy
-from tests.soak_workers import SoakWorkers, now_ms
+from tests.soak_workers import EVACUATION_MS, SoakWorkers, now_ms
 from tests.test_fleet_platform import CONFIGURATION, SETTINGS
 
 HOST_COUNT = 3
@@ -41,12 +41,14 @@
 MAX_CROSSING_S = 0.1
 IMPORT_TIME_S = 5  # a signal that arrives earlier may end the interpreter itself
 APPEND_FAULT_SHARE = 0.2  # of the faults, beside them
+EVACUATION_SHARE = 0.15  # of the faults, beside them
 LATE_APPEND_S = (1.0, 6.0)
 LATE_APPEND_SHARE = 0.3
 REFUSED_APPEND_SHARE = 0.35
 UNANSWERED_APPEND_SHARE = 0.15
 # Queues of two services, so that jobs of one shape wait for different workers.
 SERVICES_BY_QUEUE = {"plans": "planner", "paints": "painter"}
+DATA_CENTRES = ("tunis", "sfax")
 SOAK_CONFIGURATION = {
     **CONFIGURATION,
     "routes": [
@@ -95,6 +97,8 @@
             "node": name,
             "listen": {"front": self.front, "ready": f"127.0.0.1:{next(ports)}"},
             "platform": {"addr": f"127.0.0.1:{self.store_port}", "keep_s": 300},
+            "bounds": {**SETTINGS["bounds"], "evac_ms": EVACUATION_MS},
+            "zones": {name: {} for name in DATA_CENTRES},
         }
         self._settings_path = os.path.join(folder, f"{name}.yaml")
         with open(self._settings_path, "w", encoding="utf-8") as file:
@@ -155,6 +159,7 @@
     def __init__(self, seed, folder, hosts=HOST_COUNT, workers=WORKER_COUNT):
         self._random = random.Random(seed)
         self._append_random = random.Random(f"{seed}/appends")
+        self._evacuation_random = random.Random(f"{seed}/evacuations")
         self._seed = seed
         self._proxy = Proxy()
         self._ports = server_ports()
@@ -225,7 +230,7 @@
         )
 
     def _add_worker(self, service):
-        name = f"i-{('tunis', 'sfax')[self._next_worker % 2]}-{self._next_worker}"
+        name = f"i-{DATA_CENTRES[self._next_worker % 2]}-{self._next_worker}"
         self._next_worker += 1
         port, listed_port = next(self._ports), next(self._ports)
         self._proxy.forward(listed_port, port)
@@ -264,6 +269,8 @@
             self._play_fault(self._random.choice(faults))
             if self._append_random.random() < APPEND_FAULT_SHARE:
                 self._play_fault(self._delay_and_refuse_appends)
+            if self._evacuation_random.random() < EVACUATION_SHARE:
+                self._play_fault(self._evacuate_data_centre)
             time.sleep(self._random.expovariate(1 / FAULT_PERIOD_S))
             self._restore_due(time.monotonic())
         self._restore_due(float("inf"))
@@ -357,6 +364,18 @@
             lambda: setattr(self._store, "append_fault", None),
         )
 
+    def _evacuate_data_centre(self):
+        """Evacuate a data centre, and end that some seconds later."""
+        name = self._evacuation_random.choice(DATA_CENTRES)
+        self._store.put("keyed.op", f"evacuate/{name}", {})
+        self._workers.evacuated_ms.setdefault(name, now_ms())
+
+        def end():
+            self._workers.evacuated_ms.pop(name, None)
+            self._store.put("keyed.op", f"evacuate/{name}", b"")
+
+        self._restore_later(self._evacuation_random.uniform(3.0, 12.0), end)
+
     def _restart_worker(self):
         """Crash a worker, which ends its connections, and start it again."""
         name = self._random.choice(sorted(self._worker_ports))
--- a/tests/soak_workers.py
+++ b/tests/soak_workers.py
@@ -17,6 +17,7 @@
 MAX_LEASE_MS = 6_000
 DRAIN_MS = 2_000
 CANCEL_MS = 3_000
+EVACUATION_MS = 5_000
 # For orders on their way, the harness's threads and a busy machine.
 MARGIN_MS = 1_500
 STEP_PERIOD_S = 0.02
@@ -55,7 +56,8 @@
     `jobs` maps the ids of submitted jobs to their steps; `started_jobs` has every job
     that a worker ran, `ended_done` the tasks that have ended `done`, and `done` those
     whose end was acknowledged. `late_share` of the orders get no answer and are carried
-    out some seconds later. `service_of_job` returns the service of a job by its id. All
+    out some seconds later. `evacuated_ms` has when each evacuated data centre was
+    evacuated. `service_of_job` returns the service of a job by its id. All
     methods may be called from any thread.
     """
 
@@ -68,6 +70,7 @@
         self.cancelled_ms = {}
         self.ended_done = set()
         self.late_share = 0.0
+        self.evacuated_ms = {}
         self._late_orders = []
         self._random = random.Random(0)
         self._store = store
@@ -230,6 +233,10 @@
             drained_for_ms = now_ms() - worker.draining_ms
             if drained_for_ms > DRAIN_MS + MARGIN_MS:
                 self._report(f"DRAIN: {name} starts {drained_for_ms} ms into a drain")
+        evacuated_ms = self.evacuated_ms.get(worker.name.split("-")[1])
+        if evacuated_ms and now_ms() - evacuated_ms > EVACUATION_MS:
+            after_ms = now_ms() - evacuated_ms
+            self._report(f"EVACUATED: {name} starts {after_ms} ms after evacuation")
         cancelled_ms = None if late else self.cancelled_ms.get(job_id)
         if cancelled_ms and now_ms() - cancelled_ms > CANCEL_MS + MARGIN_MS:
             self._report(f"UNASKED: {name} starts after its job was cancelled")
