--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -1,8 +1,10 @@
 """Log lines for the decisions of the acting scheduler, with their reasons."""
 
+from knapweedshed.codecs import json_text
 from knapweedshed.decisions.units import critical_path_ms
 
 MAX_JOBS = 20  # ids in one line
+MAX_WORKERS = 20  # ids in one line
 
 
 class DecisionLog:
@@ -40,6 +42,21 @@
             },
         )
 
+    def log_rejected_record(self, record, reason):
+        """Log a record that the log will never take."""
+        self._logger.error(
+            "record rejected by the log",
+            extra={
+                "record": type(record).__name__,
+                "reason": reason,
+                "content": str(record)[: json_text.MAX_REASON_CHARS],
+            },
+        )
+
+    def log_log_reachable(self, away_ms):
+        """Log that the log can be read again after `away_ms`."""
+        self._logger.info("log reachable again", extra={"away_ms": away_ms})
+
     def log_found_run(self, worker_id, task, run):
         """Log a run that a worker lists and that no launch record names."""
         self._context.metrics.count("runs.unrecorded")
@@ -81,6 +98,18 @@
             },
         )
 
+    def log_starts_given_up(self, given_up):
+        """Log the launches and the waiting starts that an evacuation prevents."""
+        self._context.metrics.count("evacuations.launches", len(given_up.units))
+        self._logger.info(
+            "starts given up",
+            extra={
+                "jobs": sorted({unit.job_id for unit in given_up.units})[:MAX_JOBS],
+                "launches": len(given_up.units),
+                "workers": list(given_up.worker_ids[:MAX_WORKERS]),
+            },
+        )
+
     def log_lost_run(self, lost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
         self._context.metrics.count(f"runs.{lost.kind}")
--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from knapweedshed.decisions.cold_workers import ranked_speed
 from knapweedshed.decisions.failed_searches import FailedSearches, SearchKey
 from knapweedshed.decisions.packing import (
     WorkerCapacity,
@@ -33,7 +34,7 @@
     """Capacity that is free now, and once all stops under way have ended."""
 
     def __init__(
-        self, workers, runs, speeds, avoided_workers, now_ms, silent_data_centres=()
+        self, workers, runs, speeds, avoided_workers, now_ms, closed_data_centres=()
     ):
         self._avoided_workers = avoided_workers
         self._now_ms = now_ms
@@ -42,7 +43,7 @@
             worker_id: worker
             for worker_id, worker in workers.items()
             if worker.accepts_work(now_ms)
-            and worker.entry.data_centre not in silent_data_centres
+            and worker.entry.data_centre not in closed_data_centres
         }
         self._traits = []
         self._free_now = {}
@@ -50,7 +51,7 @@
         for worker_id, worker in self._workers.items():
             entry = worker.entry
             rack = rack_of(entry.labels)
-            speed = speeds.speed(worker_id)
+            speed = ranked_speed(entry, speeds.speed(worker_id), now_ms)
             self._traits.append(
                 WorkerTraits(worker_id, entry.service, rack, entry.labels, speed)
             )
--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -21,9 +21,13 @@
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 CONFIGURATION_KEY = "config"
+EVACUATION_KEY_PREFIX = "evacuate/"  # followed by the name of a data centre
 MAX_PAGES_COUNT = 32  # of changes in one call; a page has at least one record
 MAX_WORKER_ID_CHARS = 200
+MAX_DATA_CENTRE_CHARS = 200
+MAX_COLD_LEFT_MS = 3_600_000
 MAX_UNREADABLE_COUNT = 1_000  # keys whose last reason is remembered
+COLD_LEFT_FIELD = "cold_left_ms"
 WORKER_STATES = ("ready", "draining")
 
 
@@ -78,11 +82,22 @@
 
 
 class StoreConfigurationFeed(ConfigurationFeed):
-    """Feed of the operator's configuration; logs and skips invalid versions."""
+    """Feed of the operator's topic; logs and skips invalid records.
 
-    def __init__(self, clock, address, logger):
+    `data_centres` has the names that can be evacuated; any name if it is empty, as with
+    settings that don't list them.
+    """
+
+    def __init__(self, clock, address, logger, data_centres=()):
         self._topic = KeyedTopic(clock, address, OPERATOR_TOPIC)
         self._logger = logger
+        self._data_centres = data_centres
+        self._evacuated = None
+
+    @property
+    def evacuated_data_centres(self):
+        """Return the names as of the last successful read, None before the first."""
+        return self._evacuated
 
     def read(self, wait_ms):
         """Return a newer `ServiceConfiguration`, None if there is none, or a failure.
@@ -92,7 +107,9 @@
         result = self._topic.read_changes(wait_ms)
         if isinstance(result, FAILURE_TYPES):
             return result
-        value = result[0].get(CONFIGURATION_KEY)
+        values, is_complete = result
+        self._update_evacuations(values, is_complete)
+        value = values.get(CONFIGURATION_KEY)
         if not value:
             return None
         try:
@@ -108,14 +125,43 @@
         """Close the connection."""
         self._topic.close()
 
+    def _update_evacuations(self, values, is_complete):
+        """Apply the records of evacuations among {key: value}.
+
+        An evacuation ends by a record without a value, or by its absence from a
+        complete list. A record that can't be read leaves its data centre as it was.
+        """
+        earlier = self._evacuated or frozenset()
+        evacuated = set() if is_complete else set(earlier)
+        for key, value in values.items():
+            if not key.startswith(EVACUATION_KEY_PREFIX):
+                continue
+            name = key.removeprefix(EVACUATION_KEY_PREFIX)
+            try:
+                check_evacuation(name, value, self._data_centres)
+            except DECODE_ERRORS as error:
+                reason = repr(error)[: json_text.MAX_REASON_CHARS]
+                self._logger.warning(
+                    "evacuation unreadable", extra={"record": key, "reason": reason}
+                )
+                evacuated.update({name} & earlier)
+                continue
+            if value:
+                evacuated.add(name)
+            else:
+                evacuated.discard(name)
+        self._evacuated = frozenset(evacuated)
+
 
 class StoreWorkerFeed(WorkerFeed):
     """Feed of the entries that workers write about themselves."""
 
     def __init__(self, clock, address, logger):
         self._topic = KeyedTopic(clock, address, SERVERS_TOPIC)
+        self._clock = clock
         self._logger = logger
         self._entries = {}
+        self._cold_workers = {}
         self._unreadable = {}
 
     def read(self):
@@ -126,10 +172,14 @@
         values, is_complete = result
         if is_complete:
             self._entries = {}
+            self._cold_workers = {
+                key: known for key, known in self._cold_workers.items() if key in values
+            }
         for key, value in values.items():
-            entry = self._decode(key, value) if value else None
+            entry = self._decode(key, value, is_complete) if value else None
             if entry is None:
                 self._entries.pop(key, None)
+                self._cold_workers.pop(key, None)
             else:
                 self._entries[key] = entry
         return tuple(self._entries.values())
@@ -138,14 +188,41 @@
         """Close the connection."""
         self._topic.close()
 
-    def _decode(self, key, value):
+    def _decode(self, key, value, may_be_known):
+        """Return the `WorkerEntry`, or None; `may_be_known` if it may not be new."""
         try:
-            entry = decode_worker(key, json_text.loads(value))
+            fields = json_text.loads(value)
+            entry = decode_worker(key, fields)
         except DECODE_ERRORS as error:
             self._log_unreadable(key, repr(error)[: json_text.MAX_REASON_CHARS])
             return None
         self._unreadable.pop(key, None)
-        return entry
+        if COLD_LEFT_FIELD not in fields:
+            return entry
+        return entry._replace(
+            cold_until_ms=self._cold_until_ms(key, value, fields, may_be_known)
+        )
+
+    def _cold_until_ms(self, key, value, fields, may_be_known):
+        """Return until when a worker is cold, counted from the first read of its entry.
+
+        An invalid time is logged and has no other effect.
+        """
+        known_value, until_ms = self._cold_workers.get(key, (b"", 0))
+        if may_be_known and value == known_value:
+            return until_ms
+        until_ms = 0
+        try:
+            left_ms = parse_cold_time(fields[COLD_LEFT_FIELD])
+        except DECODE_ERRORS as error:
+            reason = repr(error)[: json_text.MAX_REASON_CHARS]
+            self._logger.warning(
+                "cold time unreadable", extra={"worker": key, "reason": reason}
+            )
+        else:
+            until_ms = self._clock.now_ms() + left_ms if left_ms else 0
+        self._cold_workers[key] = (value, until_ms)
+        return until_ms
 
     def _log_unreadable(self, key, reason):
         """Log an entry once for as long as it can't be read for the same reason."""
@@ -192,6 +269,16 @@
     )
 
 
+def check_evacuation(name, value, data_centres):
+    """Check a record that evacuates `name`; raises one of `DECODE_ERRORS`."""
+    if not 0 < len(parse_text(name)) <= MAX_DATA_CENTRE_CHARS:
+        raise ValueError(f"expected a name of {MAX_DATA_CENTRE_CHARS} characters")
+    if data_centres and name not in data_centres:
+        raise ValueError("no data centre of the settings has this name")
+    if value and not isinstance(json_text.loads(value), dict):
+        raise TypeError("expected a JSON object")
+
+
 def decode_worker(worker_id, fields):
     """Return the `WorkerEntry`; raises one of `DECODE_ERRORS`.
 
@@ -219,6 +306,14 @@
     )
 
 
+def parse_cold_time(value):
+    """Return for how long a worker stays cold, in ms; raises one of `DECODE_ERRORS`."""
+    left_ms = parse_whole_number(value)
+    if left_ms > MAX_COLD_LEFT_MS:
+        raise ValueError(f"expected a number from 0 to {MAX_COLD_LEFT_MS}")
+    return left_ms
+
+
 def decode_resources(fields):
     """Return `Resources`, with 0 for missing fields; raises one of `DECODE_ERRORS`."""
     return Resources(
