--- a/tests/test_evacuation_feed.py
+++ b/tests/test_evacuation_feed.py
@@ -11,6 +11,7 @@
 from knapweedshed.actors import stop
 from knapweedshed.clock import create_clock
 from knapweedshed.context import create_test_context
+from knapweedshed.controllers.messages import AppendRecord
 from knapweedshed.controllers.work_messages import (
     EvacuationsRead,
     OrderRequest,
@@ -218,6 +219,7 @@
         )
         self.assertTrue(self.harness.controller.dump()["acts"])
         self.harness.list_workers()
+        self.harness.appender.take(AppendRecord)  # of the end of the first term
         self.assertEqual(self.harness.plan(), [])
         self.harness.read_evacuations()
         self.assertEqual(len(self.harness.plan()), 1)
