Rank long-running work by its priority

It had the objective of a job that ends, so it counted as late for good some seconds after its acceptance, and late work comes after all other work. Long-running units are now due whenever they wait, with no work left, and go to workers of average speed.

--- a/knapweedshed/decisions/waiting.py
+++ b/knapweedshed/decisions/waiting.py
@@ -11,6 +11,9 @@
 URGENT_PRIORITY = 0  # the lowest number is the highest priority
 SPEED_SAFETY_FACTOR = 1.25  # for errors of estimates, and for restores and stops
 MAX_TARGET_SPEED_RATIO = 4.0  # above any worker's speed, so late work takes the fastest
+# Long-running work gains nothing from fast workers, which others need to end on time. A
+# worker that is slow may be so because of a fault, which it should not start on either.
+LASTING_TARGET_SPEED_RATIO = 1.0
 
 
 def collect_waiting_steps(units, ledger, runs, configuration, now_ms, wall_ms):
@@ -81,6 +84,8 @@
         arrival_wall_ms = job.first_wall_ms + first.occurrence * job.period_ms
     objective_ms = job.objective_factor * critical_path_ms(job) + job.objective_ms
     arrival_ms = now_ms - (wall_ms - arrival_wall_ms)
+    if step.lasting:
+        return _build_lasting_step(job, units, count, arrival_ms, now_ms)
     remaining_path_ms = remaining_critical_path_ms(progress, first.occurrence)
     speed = MAX_TARGET_SPEED_RATIO
     if job.priority != URGENT_PRIORITY:
@@ -101,6 +106,29 @@
     )
 
 
+def _build_lasting_step(job, units, count, arrival_ms, now_ms):
+    """Return the `WaitingStep` of units that run until their job is cancelled.
+
+    They have no end that could be late: they are due whenever they wait, and rank by
+    their priority, before work of the same priority that can still wait.
+    """
+    step = job.steps[units[0].step]
+    return WaitingStep(
+        tuple(units),
+        step,
+        count,
+        job.priority,
+        guaranteed=False,
+        arrival_ms=arrival_ms,
+        due_ms=now_ms,
+        late_limit_ms=now_ms,
+        critical_path_ms=0,
+        work_core_s=core_seconds(step, count),
+        service=job.service,
+        target_speed=LASTING_TARGET_SPEED_RATIO,
+    )
+
+
 def _apply_guarantee(waiting, ledger, configuration, used):
     """Return the step with `guaranteed` set; counts its accelerators in `used`."""
     if waiting.priority != URGENT_PRIORITY:
--- a/knapweedshed/decisions/work_order.py
+++ b/knapweedshed/decisions/work_order.py
@@ -18,9 +18,10 @@
     accepted, or when its occurrence was due. Work that ends by `due_ms` meets its
     objective and earns full credit; work that ends by `late_limit_ms` still earns late
     credit, which is a fifth of that. These three are on the monotonic clock of this
-    process. `critical_path_ms` is the estimated time left on the longest chain of the
-    job's steps, on a worker of average speed; `work_core_s` is the size of one unit in
-    core-seconds. `target_speed` is relative to the average worker.
+    process; long-running work is due now, with nothing left. `critical_path_ms` is the
+    estimated time left on the longest chain of the job's steps, on a worker of average
+    speed; `work_core_s` is the size of one unit in core-seconds. `target_speed` is
+    relative to the average worker.
     """
 
     units: tuple
