Count no failure against a worker once its unit is the likely cause

A unit that has failed on two different workers in a row no longer counts; when a third has failed it, its earlier failures are withdrawn. Faulty workers that fail different units are left out as before.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,6 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
+from knapweedshed.decisions.failure_attribution import FailureAttribution
 from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
     HANG_QUARANTINE_MS,
@@ -86,6 +87,9 @@
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
         )
         self._avoided_workers = {}
+        self._failure_attribution = FailureAttribution(
+            ledger, self._workers, self._unit_runs
+        )
         self._speed_observer = SpeedObserver(
             ledger, self._workers, self._unit_runs, self._speeds
         )
@@ -483,10 +487,10 @@
         """Update the worker's health, and keep the ends that need recording."""
         for end in ends:
             if end.kind == EndKind.FAILED:
-                worker.record_failure(now_ms)
+                self._failure_attribution.note_failure(worker, end, now_ms)
                 self._avoid_worker(end.task, worker.worker_id, now_ms)
             elif end.kind == EndKind.DONE:
-                worker.record_success()
+                self._failure_attribution.note_done(worker, end)
             if self._ledger.has_task(end.task) and needs_recording(end):
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -18,6 +18,7 @@
 QUARANTINE_INITIAL_MS = 2_000  # doubles with each further failure
 QUARANTINE_MAX_MS = 16_000
 FAILURES_TO_QUARANTINE_COUNT = 2
+MAX_COUNTED_FAILURES_COUNT = 6  # more don't make a quarantine longer
 ORDER_IN_FLIGHT = -1  # in place of a time, in `order_answered_ms`
 COMPLETE_PERCENT = 100.0
 ORDER_TO_REPEAT = -2  # in place of a time, in `order_answered_ms`
@@ -101,7 +102,8 @@
         self.last_end_number = 0
         self.unrecorded_ends = {}
         self.quarantined_until_ms = 0
-        self.consecutive_failures = 0
+        self._failure_causes = []
+        self._failure_quarantine_until_ms = -1
         self._restart_noticed_ms = -1
         self._lease_expiry_ms = lease_expiry_ms
         self._lease_ms = lease_ms
@@ -109,6 +111,11 @@
         self._worker_clock_read_ms = 0
         self._lease_end_clock_ms = 0
 
+    @property
+    def consecutive_failures(self):
+        """Return how many failures count against this worker since its last success."""
+        return len(self._failure_causes)
+
     @property
     def life(self):
         """Return the worker's present `WorkerLife`."""
@@ -256,16 +263,32 @@
             self._keep_unlisted_runs(answer.running, now_ms)
         return removed, tuple(ends), unassigned
 
-    def record_failure(self, now_ms):
-        """Count a failure of this worker; return whether that quarantines it."""
-        self.consecutive_failures += 1
-        if self.consecutive_failures >= FAILURES_TO_QUARANTINE_COUNT:
-            # The limit keeps the shift small; QUARANTINE_MAX_MS is reached before it.
-            doublings = min(self.consecutive_failures - FAILURES_TO_QUARANTINE_COUNT, 4)
-            quarantine_ms = min(QUARANTINE_INITIAL_MS << doublings, QUARANTINE_MAX_MS)
-            self.quarantined_until_ms = now_ms + quarantine_ms
-            return True
-        return False
+    def record_failure(self, now_ms, unit=None):
+        """Count a failure, of a unit if it is known; return whether that quarantines.
+
+        A failure counts until the worker succeeds, or until it is withdrawn.
+        """
+        causes = [*self._failure_causes, unit]
+        self._failure_causes = causes[-MAX_COUNTED_FAILURES_COUNT:]
+        if self.consecutive_failures < FAILURES_TO_QUARANTINE_COUNT:
+            return False
+        doublings = self.consecutive_failures - FAILURES_TO_QUARANTINE_COUNT
+        quarantine_ms = min(QUARANTINE_INITIAL_MS << doublings, QUARANTINE_MAX_MS)
+        self.quarantined_until_ms = now_ms + quarantine_ms
+        self._failure_quarantine_until_ms = self.quarantined_until_ms
+        return True
+
+    def withdraw_failures(self, unit):
+        """Stop counting the failures of a unit, and end a quarantine that needed them.
+
+        A quarantine for another reason stays.
+        """
+        self._failure_causes = [item for item in self._failure_causes if item != unit]
+        if (
+            self.consecutive_failures < FAILURES_TO_QUARANTINE_COUNT
+            and self.quarantined_until_ms == self._failure_quarantine_until_ms
+        ):
+            self.quarantined_until_ms = 0
 
     def is_hanging(self, now_ms, stall_limit_ms_of):
         """Return whether every run that should progress here has stalled.
@@ -293,7 +316,7 @@
 
     def record_success(self):
         """Reset the failure count and end the quarantine."""
-        self.consecutive_failures = 0
+        self._failure_causes = []
         self.quarantined_until_ms = 0
 
     def _update_lease_expiry(self):
--- a/tests/test_work_lasting.py
+++ b/tests/test_work_lasting.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from knapweedshed.decisions.failure_attribution import STEADY_RUN_MS
+from knapweedshed.models.work import Resources, TaskRun
 from tests.dispatch_harness import DispatchHarness, make_job, make_step
 
 SERVER, OTHER = "a" * 16, "b" * 16
@@ -42,5 +44,93 @@
         self.assertEqual([order.worker_id for order in harness.started], ["w1"])
 
 
+class FailureTest(unittest.TestCase):
+    """A unit that fails everywhere doesn't take workers from other work."""
+
+    def setUp(self):
+        self.harness = DispatchHarness(workers=4)
+        self.harness.start_term()
+
+    def _submit(self, job_id, count=1, **fields):
+        self.harness.accept(make_job(job_id, (make_step(count, **fields),)))
+        self.harness.plan()
+
+    def _fail_all(self, times, job_id=SERVER):
+        """Let each run of a job fail 1 s after its start, again and again."""
+        for _ in range(times):
+            self.harness.pass_time(1_000)
+            for worker_id, running in self.harness.running.items():
+                for task in [task for task in running if task.job_id == job_id]:
+                    self.harness.end(worker_id, task, "failed")
+            self.harness.hold_all()
+
+    def _accepting(self):
+        now_ms = self.harness.now_ms
+        workers = self.harness.dispatcher.workers.items()
+        return {name for name, worker in workers if worker.accepts_work(now_ms)}
+
+    def test_long_running_unit_that_fails_everywhere_blocks_no_worker(self):
+        self._submit(SERVER, lasting=True)
+        self._fail_all(20)
+        self.assertEqual(self._accepting(), {"w0", "w1", "w2", "w3"})
+
+    def test_units_that_all_fail_everywhere_block_no_worker(self):
+        self._submit(SERVER, count=8, lasting=True)
+        self._fail_all(20)
+        self.assertEqual(self._accepting(), {"w0", "w1", "w2", "w3"})
+
+    def test_worker_that_fails_different_units_is_left_out(self):
+        self._submit(SERVER, count=32, lasting=True)
+        for _ in range(2):
+            task = next(iter(self.harness.running["w2"]))
+            self.harness.end("w2", task, "failed")
+        self.harness.hold_all()
+        self.assertEqual(self._accepting(), {"w0", "w1", "w3"})
+
+    def test_two_faulty_workers_do_not_clear_each_other(self):
+        self._submit(SERVER, count=16, lasting=True)
+        for _ in range(6):
+            self.harness.pass_time(500)
+            for worker_id in ("w0", "w1"):
+                for task in list(self.harness.running[worker_id]):
+                    self.harness.end(worker_id, task, "failed")
+            self.harness.hold_all()
+        self.assertEqual(self._accepting(), {"w2", "w3"})
+
+    def test_failures_of_two_gang_members_in_one_run_count_against_workers(self):
+        eight = Resources(8_000, 10_000, 8)
+        self._submit(SERVER, 2, need=eight, gang=True, lasting=True)
+        for order in self.harness.started:
+            self.harness.end(order.worker_id, order.task, "failed")
+        self.harness.hold_all()
+        failures = {
+            name: worker.consecutive_failures
+            for name, worker in self.harness.dispatcher.workers.items()
+        }
+        self.assertEqual(sorted(failures.values()), [0, 0, 1, 1])
+
+    def test_unit_that_ran_well_for_long_is_not_the_cause_of_its_next_failure(self):
+        self._submit(SERVER, lasting=True)
+        self._fail_all(1)
+        order = self.harness.started[-1]
+        steady_run = TaskRun(order.task, order.run, "", 100.0)
+        self.harness.running[order.worker_id][order.task] = steady_run
+        for _ in range(STEADY_RUN_MS // 1_000):
+            self.harness.pass_time(1_000)
+            self.harness.hold_all()
+        self._fail_all(2)
+        workers = self.harness.dispatcher.workers.values()
+        counted = sum(worker.consecutive_failures for worker in workers)
+        self.assertEqual(counted, 2)  # of three: the end of the long run counts nowhere
+
+    def test_cleared_worker_stays_out_if_it_hangs(self):
+        worker = self.harness.dispatcher.workers["w0"]
+        for _ in range(2):
+            worker.record_failure(self.harness.now_ms, "unit")
+        worker.quarantine(self.harness.now_ms + 9_000)
+        worker.withdraw_failures("unit")
+        self.assertNotIn("w0", self._accepting())
+
+
 if __name__ == "__main__":
     unittest.main()
