--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -53,7 +53,6 @@
 
 MAX_START_ATTEMPTS_COUNT = 3  # must fit in the time that a gang waits for its members
 SPEED_UPDATE_PERIOD_MS = 500
-FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
 # Workers that leave must get no new work 2 s after the platform has listed them so. The
 # list is read each 300 ms, by a slow store in 550 ms.
 MAX_LIST_AGE_MS = 1_800
@@ -86,7 +85,6 @@
         self._speeds = WorkerSpeeds(
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
         )
-        self._avoided_workers = {}
         self._failure_attribution = FailureAttribution(
             ledger, self._workers, self._unit_runs
         )
@@ -207,7 +205,7 @@
         if outcome.reason == REASON_UNHEALTHY:
             worker.record_failure(now_ms)
         elif outcome.reason == REASON_UNREACHABLE:
-            self._avoid_worker(order.task, order.worker_id, now_ms)
+            self._failure_attribution.avoid(order.task, order.worker_id, now_ms)
         if outcome.reason in NOT_STARTED_REASONS and assigned_run.start_attempts == 1:
             del worker.assigned_runs[key]
             return self._handle_task_removal(order.task, order.run, None, now_ms)
@@ -354,7 +352,7 @@
                 self._unit_runs,
                 self._configuration,
                 self._speeds,
-                self._avoided_workers,
+                self._failure_attribution.avoided_workers,
                 now_ms,
                 wall_ms,
                 self._silence_observer.silent_data_centres,
@@ -488,7 +486,6 @@
         for end in ends:
             if end.kind == EndKind.FAILED:
                 self._failure_attribution.note_failure(worker, end, now_ms)
-                self._avoid_worker(end.task, worker.worker_id, now_ms)
             elif end.kind == EndKind.DONE:
                 self._failure_attribution.note_done(worker, end)
             if self._ledger.has_task(end.task) and needs_recording(end):
@@ -553,12 +550,6 @@
                 orders.extend(self._stop_unit_run(unit, now_ms))
         return orders
 
-    def _avoid_worker(self, task, worker_id, now_ms):
-        """Run a unit elsewhere next, so that a faulty worker fails it only once."""
-        if self._ledger.has_task(task):
-            avoided_until_ms = self._avoided_workers.setdefault(self._unit_of(task), {})
-            avoided_until_ms[worker_id] = now_ms + FAILED_WORKER_AVOIDANCE_MS
-
     def _unit_of(self, task):
         progress = self._ledger.jobs[task.job_id]
         return unit_of_task(task, progress.job.steps[task.step])
--- a/knapweedshed/decisions/failure_attribution.py
+++ b/knapweedshed/decisions/failure_attribution.py
@@ -14,11 +14,13 @@
 # Long-running work may fail at any time. A run of four times the longest quarantine
 # shows that neither the worker nor the unit fails it systematically.
 STEADY_RUN_MS = 64_000
+FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
 
 
 class FailureAttribution:
     """Counts failures against workers until their units are the likely cause.
 
+    Also keeps which workers each unit avoids after a failure there, and until when.
     The memory lasts for the scheduler's epoch; a successor learns it again.
     """
 
@@ -27,14 +29,27 @@
         self._workers = workers
         self._unit_runs = unit_runs
         self._failed_runs = {}  # by unit, {run: worker id} of its failures in a row
+        self._avoided_workers = {}
+
+    @property
+    def avoided_workers(self):
+        """Return {unit: {worker id: until when it avoids the worker}}."""
+        return self._avoided_workers
+
+    def avoid(self, task, worker_id, now_ms):
+        """Run a unit elsewhere next, so that a faulty worker fails it only once."""
+        if self._ledger.has_task(task):
+            avoided_until_ms = self._avoided_workers.setdefault(self._unit_of(task), {})
+            avoided_until_ms[worker_id] = now_ms + FAILED_WORKER_AVOIDANCE_MS
 
     def note_failure(self, worker, end, now_ms):
         """Take the failed end of a run at a `TrackedWorker`."""
         if not self._ledger.has_task(end.task):
             worker.record_failure(now_ms)
             return
-        step = self._ledger.jobs[end.task.job_id].job.steps[end.task.step]
-        unit = unit_of_task(end.task, step)
+        self.avoid(end.task, worker.worker_id, now_ms)
+        unit = self._unit_of(end.task)
+        step = self._ledger.jobs[unit.job_id].job.steps[unit.step]
         if step.lasting and self._ran_ms(unit, end.run, now_ms) >= STEADY_RUN_MS:
             self._failed_runs.pop(unit, None)
             return
@@ -55,8 +70,11 @@
         """Take the end of a run that is done."""
         worker.record_success()
         if self._ledger.has_task(end.task):
-            step = self._ledger.jobs[end.task.job_id].job.steps[end.task.step]
-            self._failed_runs.pop(unit_of_task(end.task, step), None)
+            self._failed_runs.pop(self._unit_of(end.task), None)
+
+    def _unit_of(self, task):
+        progress = self._ledger.jobs[task.job_id]
+        return unit_of_task(task, progress.job.steps[task.step])
 
     def _ran_ms(self, unit, run, now_ms):
         """Return for how long a run is known to have run; 0 if it is not known."""
--- a/tests/test_work_urgent.py
+++ b/tests/test_work_urgent.py
@@ -163,7 +163,7 @@
         harness.start_term()
         harness.dispatcher.workers["w1"].quarantine(harness.now_ms + 5_000)
         failed_unit = Unit("a" * 16, 0, 0, 0)
-        harness.dispatcher._avoided_workers = {
+        harness.dispatcher._failure_attribution._avoided_workers = {
             failed_unit: {"w0": harness.now_ms + 3_000}
         }
         harness.accept(make_job(steps=(make_step(2),)))
