Move long-running work off workers that drain

Once its worker drains, such a run is now stopped, and its unit starts elsewhere when the end is listed. Steps may set may_miss, the number of tasks that are moved at a time. Each move has a log line 'unit moved' and a counter.

Six of the eight new tests of moves fail without the change; the others guard what must not change. 211 tests of the modules touched pass.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -3,6 +3,7 @@
 from knapweedshed.decisions.units import critical_path_ms
 
 MAX_JOBS = 20  # ids in one line
+MAX_WORKERS = 20  # ids in one line
 
 
 class DecisionLog:
@@ -81,6 +82,23 @@
             },
         )
 
+    def log_move(self, moved):
+        """Log a run that is stopped because a worker of it is leaving."""
+        self._context.metrics.count("units.moved")
+        self._logger.info(
+            "unit moved",
+            extra={
+                "job": moved.unit.job_id,
+                "unit": list(moved.unit[1:]),
+                "run": moved.run,
+                "workers": list(moved.worker_ids[:MAX_WORKERS]),
+                "time_left_ms": moved.time_left_ms,
+                "work_left_ms": moved.work_left_ms,
+                "percent": round(moved.percent),
+                "age_ms": moved.answer_age_ms,
+            },
+        )
+
     def log_lost_run(self, lost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
         self._context.metrics.count(f"runs.{lost.kind}")
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -61,6 +61,7 @@
     RecordLaunches,
     RecordTaskEnds,
     RunLost,
+    UnitMoved,
     WithdrawStarts,
     WorkerHung,
 )
@@ -461,6 +462,8 @@
                 self._decision_log.log_preemption(action)
             elif isinstance(action, RunLost):
                 self._decision_log.log_lost_run(action)
+            elif isinstance(action, UnitMoved):
+                self._decision_log.log_move(action)
             elif isinstance(action, WorkerHung):
                 self._decision_log.log_worker_hang(action)
             elif isinstance(action, WithdrawStarts):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,6 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
+from knapweedshed.decisions.departures import find_moves
 from knapweedshed.decisions.failure_attribution import FailureAttribution
 from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
@@ -296,6 +297,7 @@
             self._nothing_expires_until_ms = now_ms + PAUSE_GRACE_MS
         if now_ms >= self._nothing_expires_until_ms:
             actions.extend(self._expire_leases_and_orders(now_ms))
+        actions.extend(self._move_units_off_leaving_workers(now_ms))
         actions.extend(self._unrecorded_ends.take_overdue(now_ms))
         return actions
 
@@ -310,6 +312,14 @@
                 actions.extend(self._retry_order(worker, key, assigned_run, now_ms))
         return actions
 
+    def _move_units_off_leaving_workers(self, now_ms):
+        actions = []
+        for moved in find_moves(
+            self._ledger, self._workers, self._unit_runs, self._limits, now_ms
+        ):
+            actions.extend([moved, *self._stop_unit_run(moved.unit, now_ms)])
+        return actions
+
     def take_found_runs(self):
         """Return (worker id, task, run) of each new run that has no record."""
         return self._found_runs.take_new()
--- a/knapweedshed/decisions/job_limits.py
+++ b/knapweedshed/decisions/job_limits.py
@@ -45,6 +45,8 @@
         return f"an estimate is at most {MAX_DURATION_MS} ms"
     if not 0 <= step.most_per_worker <= MAX_TASKS_COUNT:
         return f"at most {MAX_TASKS_COUNT} tasks at a worker"
+    if not 0 <= step.may_miss <= MAX_TASKS_COUNT:
+        return f"may_miss is at most {MAX_TASKS_COUNT}"
     if any(amount > MAX_RESOURCE for amount in step.need):
         return "a task needs more than any worker has"
     return ""
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -88,7 +88,8 @@
 
     `entry` is its entry in the platform's list of workers, or None if not listed. Keys
     of `assigned_runs` are (task, run); keys of `unrecorded_ends` are end numbers.
-    `is_silent` means that the last hold or order got no answer.
+    `is_silent` means that the last hold or order got no answer. `leaves_at_ms` is the
+    earliest time at which a draining worker may be gone, or None if that is unknown.
     """
 
     def __init__(self, worker_id, incarnation, lease_expiry_ms, lease_ms):
@@ -99,12 +100,14 @@
         self.has_answered = False
         self.last_answer_ms = -1
         self.is_silent = False
+        self.leaves_at_ms = None
         self.last_end_number = 0
         self.unrecorded_ends = {}
         self.quarantined_until_ms = 0
         self._failure_causes = []
         self._failure_quarantine_until_ms = -1
         self._restart_noticed_ms = -1
+        self._listed_serving_ms = None
         self._lease_expiry_ms = lease_expiry_ms
         self._lease_ms = lease_ms
         self._worker_clock_ms = 0
@@ -122,6 +125,15 @@
         leaving = self.entry is None or self.entry.draining
         return WorkerLife(self.incarnation, leaving)
 
+    @property
+    def is_draining(self):
+        """Return whether the worker is listed as draining in its present life."""
+        return (
+            self.entry is not None
+            and self.entry.draining
+            and self.entry.incarnation == self.incarnation
+        )
+
     @property
     def last_acknowledgeable_end(self):
         """Return the number up to which all ends are recorded or need no record."""
@@ -197,6 +209,7 @@
         if self.entry is not None and self.entry.incarnation == entry.incarnation:
             entry = entry._replace(draining=entry.draining or self.entry.draining)
         self.entry = entry
+        self._note_departure(now_ms)
         return removed
 
     def handle_restart(self, incarnation, now_ms):
@@ -211,6 +224,8 @@
                 removed.append(RemovedRun(assigned_run, EndKind.LAPSED))
         self.incarnation = incarnation
         self._restart_noticed_ms = now_ms
+        self._listed_serving_ms = None
+        self.leaves_at_ms = None
         self.has_answered = False
         self.last_end_number = 0
         self.unrecorded_ends = {}
@@ -319,6 +334,24 @@
         self._failure_causes = []
         self.quarantined_until_ms = 0
 
+    def _note_departure(self, now_ms):
+        """Update when the worker may be gone, from its entry.
+
+        `remaining_ms` counts from when the entry was written, which was after the last
+        list in which the worker was still serving. An entry that says so from the first
+        may be of any age.
+        """
+        if self.entry.incarnation != self.incarnation:
+            return
+        if not self.entry.draining:
+            self._listed_serving_ms = now_ms
+        elif self.entry.remaining_ms:
+            leaves_at_ms = now_ms
+            if self._listed_serving_ms is not None:
+                leaves_at_ms = self._listed_serving_ms + self.entry.remaining_ms
+            if self.leaves_at_ms is None or leaves_at_ms < self.leaves_at_ms:
+                self.leaves_at_ms = leaves_at_ms
+
     def _update_lease_expiry(self):
         """Compute when the lease has expired even by a slow worker clock."""
         left_ms = max(0, self._lease_end_clock_ms - self._worker_clock_ms)
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -80,6 +80,24 @@
     progress_percents: tuple[float, ...]
 
 
+class UnitMoved(NamedTuple):
+    """A unit's run is stopped because a worker that it runs on is leaving.
+
+    `time_left_ms` is the least time until the worker is gone, or None if unknown.
+    `work_left_ms` is the estimated time until the run ends, or None if it is
+    long-running. `percent` is the least progress of its tasks, from an answer that is
+    `answer_age_ms` old.
+    """
+
+    unit: Unit
+    run: int
+    worker_ids: tuple[str, ...]
+    time_left_ms: int | None
+    work_left_ms: int | None
+    percent: float
+    answer_age_ms: int
+
+
 class OrderOutcome(NamedTuple):
     """The outcome of an order: `done`, `refused` (with a reason) or `unknown`."""
 
--- a/knapweedshed/models/work.py
+++ b/knapweedshed/models/work.py
@@ -71,7 +71,8 @@
     they are not met. `label` and `most_per_worker` (0: no limit) are requirements.
     `checkpoints` means that the tasks save checkpoints, `copies` that they may run as
     speculative copies. `lasting` tasks are long-running: the end of a run neither
-    completes nor fails them.
+    completes nor fails them. `may_miss` (0: no limit) is how many tasks of a lasting
+    step may be unavailable because of the scheduler.
     """
 
     count: int
@@ -86,6 +87,7 @@
     checkpoints: bool = False
     copies: bool = False
     lasting: bool = False
+    may_miss: int = 0
 
 
 class WorkJob(NamedTuple):
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -120,4 +120,5 @@
         checkpoints=bool(fields.get("checkpoints", False)),
         copies=bool(fields.get("speculative", False)),
         lasting=bool(fields.get("long_running", False)),
+        may_miss=int(fields.get("may_miss", 0)),
     )
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -12,6 +12,7 @@
     RecordTaskEnds,
     RunLost,
     StartRun,
+    UnitMoved,
     WithdrawStarts,
     WorkerHung,
 )
@@ -38,6 +39,7 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
+RECORDED_TYPES = (Preempted, RunLost, UnitMoved, WorkerHung, WithdrawStarts)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
@@ -63,7 +65,7 @@
     )
 
 
-def make_entry(number, rack="r1-1", incarnation=1, draining=False):
+def make_entry(number, rack="r1-1", incarnation=1, draining=False, remaining_ms=0):
     """Return the entry of worker w<number> in the platform's list."""
     return WorkerEntry(
         f"w{number}",
@@ -74,6 +76,7 @@
         CAPACITY,
         ("a", rack),
         incarnation,
+        remaining_ms,
     )
 
 
@@ -137,6 +140,17 @@
             self.dispatcher.update_workers(tuple(self.entries), self.now_ms)
         )
 
+    def drain(self, worker_id, remaining_ms):
+        """List a worker as draining that has just announced it."""
+        self.apply_worker_list()
+        self.entries = [
+            entry._replace(draining=True, remaining_ms=remaining_ms)
+            if entry.worker_id == worker_id
+            else entry
+            for entry in self.entries
+        ]
+        self.apply_worker_list()
+
     def hold_all(self):
         """Send a hold to every reachable worker, then plan."""
         for entry in self.entries:
@@ -207,7 +221,7 @@
                 self.apply_actions(
                     self.dispatcher.handle_changed_jobs(changed, self.now_ms)
                 )
-            elif isinstance(action, (Preempted, RunLost, WorkerHung, WithdrawStarts)):
+            elif isinstance(action, RECORDED_TYPES):
                 self.records.append(action)
             else:
                 self._send_order(action)
--- a/tests/test_fleet_platform.py
+++ b/tests/test_fleet_platform.py
@@ -223,6 +223,7 @@
             "est_ms": 900,
             "gang": True,
             "max_per_server": 2,
+            "may_miss": 4,
         }
         call = self._decode({"spec": "s", "steps": [step]})
         self.assertEqual((call.host, call.api_key), ("n.example", "k1"))
@@ -230,6 +231,9 @@
         self.assertEqual(call.draft.steps[0].need, Resources(500, 256, 1))
         self.assertTrue(call.draft.steps[0].gang)
         self.assertEqual(call.draft.steps[0].most_per_worker, 2)
+        self.assertEqual(call.draft.steps[0].may_miss, 4)
+        call = self._decode({"spec": "s", "steps": [{}]})
+        self.assertEqual(call.draft.steps[0].may_miss, 0)
 
     def test_malformed_bodies_are_rejected_with_a_reason(self):
         forward_dependency = {"count": 1, "depends_on": [0]}
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -60,6 +60,7 @@
         huge = 10**400
         self._assert_rejected(make_draft(make_step(estimate_ms=huge)), "estimate")
         self._assert_rejected(make_draft(make_step(estimate_ms=-1)), "estimate")
+        self._assert_rejected(make_draft(make_step(may_miss=-1)), "may_miss")
         step = make_step(need=Resources(huge, 1, 1))
         self._assert_rejected(make_draft(make_step(), step), "step 1: a task needs")
 
--- a/tests/test_work_lasting.py
+++ b/tests/test_work_lasting.py
@@ -3,6 +3,7 @@
 import unittest
 
 from knapweedshed.decisions.failure_attribution import STEADY_RUN_MS
+from knapweedshed.models.dispatch_actions import UnitMoved
 from knapweedshed.models.work import Resources, TaskRun
 from tests.dispatch_harness import DispatchHarness, make_job, make_step
 
@@ -132,5 +133,95 @@
         self.assertNotIn("w0", self._accepting())
 
 
+class LeavingWorkerTest(unittest.TestCase):
+    """A long-running task runs elsewhere before its worker leaves with it.
+
+    Otherwise it would be down until the lease of the worker has expired.
+    """
+
+    def _start_on_w0(self, count=1, **fields):
+        """Start `count` long-running tasks on w0 of two workers, past their startup."""
+        harness = DispatchHarness(workers=2)
+        harness.start_term()
+        harness.dispatcher.workers["w1"].quarantine(harness.now_ms + 1)
+        fields = {"lasting": True, "estimate_ms": 400, **fields}
+        harness.accept(make_job(SERVER, (make_step(count, **fields),)))
+        harness.plan()
+        harness.pass_time(100)
+        self._show_progress(harness)
+        return harness
+
+    def _show_progress(self, harness):
+        for running in harness.running.values():
+            for task, task_run in running.items():
+                running[task] = task_run._replace(percent=100.0)
+        harness.hold_all()
+
+    def _pass_time(self, harness, ms):
+        for _ in range(ms // 100):
+            harness.pass_time(100)
+            harness.hold_all()
+
+    def test_task_is_stopped_and_starts_on_another_worker(self):
+        harness = self._start_on_w0()
+        harness.drain("w0", 2_000)
+        self._pass_time(harness, 200)
+        self.assertEqual([order.worker_id for order in harness.stopped], ["w0"])
+        self.assertEqual(harness.started[-1].worker_id, "w1")
+        moves = [item for item in harness.records if isinstance(item, UnitMoved)]
+        self.assertEqual([moved.worker_ids for moved in moves], [("w0",)])
+
+    def test_task_does_not_start_before_the_end_of_its_last_run_is_certain(self):
+        harness = self._start_on_w0()
+        harness.lossy.add("w0")
+        harness.drain("w0", 2_000)
+        self._pass_time(harness, 2_000)
+        harness.entries = harness.entries[1:]
+        harness.apply_worker_list()
+        self._pass_time(harness, 3_000)
+        self.assertEqual(len(harness.started), 1)
+        self._pass_time(harness, 3_500)
+        self.assertEqual(len(harness.started), 2)
+
+    def test_no_more_tasks_are_moved_at_a_time_than_may_be_missed(self):
+        harness = self._start_on_w0(3, may_miss=1)
+        harness.drain("w0", 9_000)
+        self._pass_time(harness, 300)
+        self.assertEqual(len(harness.stopped), 1)
+        self._pass_time(harness, 400)
+        self.assertEqual(len(harness.stopped), 2)
+
+    def test_limit_of_tasks_to_miss_does_not_leave_them_to_end_with_the_worker(self):
+        harness = self._start_on_w0(3, may_miss=1)
+        harness.drain("w0", 900)
+        self._pass_time(harness, 300)
+        self.assertEqual(len(harness.stopped), 3)
+
+    def test_limit_of_tasks_to_miss_holds_if_the_time_left_is_unknown(self):
+        harness = self._start_on_w0(3, may_miss=1)
+        harness.drain("w0", 0)
+        self._pass_time(harness, 300)
+        self.assertEqual(len(harness.stopped), 1)
+
+    def test_tasks_without_a_limit_move_at_once(self):
+        harness = self._start_on_w0(3)
+        harness.drain("w0", 9_000)
+        self._pass_time(harness, 200)
+        self.assertEqual(len(harness.stopped), 3)
+
+    def test_drain_of_unknown_age_counts_as_over(self):
+        harness = self._start_on_w0(3, may_miss=1)
+        harness.drain("w0", 9_000)
+        harness.start_term()
+        self._pass_time(harness, 200)
+        self.assertEqual(len(harness.stopped), 3)
+
+    def test_work_that_ends_is_left_to_run(self):
+        harness = self._start_on_w0(lasting=False, checkpoints=True)
+        harness.drain("w0", 2_000)
+        self._pass_time(harness, 3_000)
+        self.assertEqual(harness.stopped, [])
+
+
 if __name__ == "__main__":
     unittest.main()
