Stop ordinary work on draining workers in time for its saved state

Work that ran on a worker when that left lost everything, and its unit waited for the lease. With the policy drain_notice a run that can't end before its worker leaves, and that can save, is now stopped at the last moment at which its state can still leave, and goes on elsewhere from it. Gangs stop whole; what can't save is left to run. Without the policy, or without draining workers, decisions are as before.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,7 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
-from knapweedshed.decisions.departures import find_moves
+from knapweedshed.decisions.departures import Departures
 from knapweedshed.decisions.failure_attribution import FailureAttribution
 from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
@@ -92,6 +92,9 @@
         self._speed_observer = SpeedObserver(
             ledger, self._workers, self._unit_runs, self._speeds
         )
+        self._departures = Departures(
+            ledger, self._workers, self._unit_runs, self._speeds, limits, policies
+        )
         self._speeds_updated_ms = now_ms
         self._capacity_changed = True
         self._waiting_since_ms = {}
@@ -314,9 +317,7 @@
 
     def _move_units_off_leaving_workers(self, now_ms):
         actions = []
-        for moved in find_moves(
-            self._ledger, self._workers, self._unit_runs, self._limits, now_ms
-        ):
+        for moved in self._departures.find_moves(now_ms):
             actions.extend([moved, *self._stop_unit_run(moved.unit, now_ms)])
         return actions
 
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -85,8 +85,8 @@
 
     `time_left_ms` is the least time until the worker is gone, or None if unknown.
     `work_left_ms` is the estimated time until the run ends, or None if it is
-    long-running. `percent` is the least progress of its tasks, from an answer that is
-    `answer_age_ms` old.
+    long-running or can't be estimated. `percent` is the least progress of its tasks;
+    the oldest answer that told it is `answer_age_ms` old.
     """
 
     unit: Unit
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -16,6 +16,7 @@
     WithdrawStarts,
     WorkerHung,
 )
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -119,7 +120,7 @@
         """Append the acceptance of a job to the log."""
         self.append_record(WorkAccepted(job))
 
-    def start_term(self, guaranteed=0):
+    def start_term(self, guaranteed=0, policies=NO_OVERLOAD_POLICIES):
         """Claim the next epoch and start a term with a new dispatcher.
 
         The organisation is guaranteed `guaranteed` accelerators.
@@ -127,7 +128,7 @@
         self.epoch += 1
         self.append_record(ActingClaimed(self.epoch, f"host{self.epoch}"))
         self.dispatcher = Dispatcher(
-            self.ledger, TIME_LIMITS, create_ordering_policy(), self.now_ms
+            self.ledger, TIME_LIMITS, create_ordering_policy(), self.now_ms, policies
         )
         configured = ConfiguredOrganisation("sahel", ("key",), guaranteed)
         self.dispatcher.configure(ServiceConfiguration(1, (), (configured,)))
@@ -244,4 +245,5 @@
         if isinstance(order, StartRun):
             running[order.task] = TaskRun(order.task, order.run, "", 0)
         elif order.task in running and running[order.task].run == order.run:
-            self.end(order.worker_id, order.task, "stopped")
+            saved = running[order.task].saved
+            self.end(order.worker_id, order.task, "stopped", saved)
