--- a/tests/test_drain_notice.py
+++ b/tests/test_drain_notice.py
@@ -235,6 +235,8 @@
         (line,) = logged.records
         self.assertEqual((line.message, line.workers), ("unit moved", ["w0"]))
         self.assertEqual((line.time_left_ms, line.work_left_ms), (2_000, None))
+        metrics = harness.controller._context.metrics.snapshot()
+        self.assertEqual(metrics["units.moved"], 1)
         orders = [item.order for item in harness.connections.take(OrderRequest)]
         self.assertEqual([type(order) for order in orders], [StopRun])
 
