--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,7 +6,9 @@
 successor knows everywhere a run may exist.
 """
 
+from knapweedshed.decisions.departures import Departures
 from knapweedshed.decisions.evacuation import NO_EVACUATIONS, give_up_starts
+from knapweedshed.decisions.failure_attribution import FailureAttribution
 from knapweedshed.decisions.found_runs import FoundRuns
 from knapweedshed.decisions.hang_detection import (
     HANG_QUARANTINE_MS,
@@ -53,7 +55,6 @@
 
 MAX_START_ATTEMPTS_COUNT = 3  # must fit in the time that a gang waits for its members
 SPEED_UPDATE_PERIOD_MS = 500
-FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
 # Workers that leave must get no new work 2 s after the platform has listed them so. The
 # list is read each 300 ms, by a slow store in 550 ms.
 MAX_LIST_AGE_MS = 1_800
@@ -87,10 +88,15 @@
         self._speeds = WorkerSpeeds(
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
         )
-        self._avoided_workers = {}
+        self._failure_attribution = FailureAttribution(
+            ledger, self._workers, self._unit_runs
+        )
         self._speed_observer = SpeedObserver(
             ledger, self._workers, self._unit_runs, self._speeds
         )
+        self._departures = Departures(
+            ledger, self._workers, self._unit_runs, self._speeds, limits, policies
+        )
         self._speeds_updated_ms = now_ms
         self._capacity_changed = True
         self._waiting_since_ms = {}
@@ -215,7 +221,7 @@
         if outcome.reason == REASON_UNHEALTHY:
             worker.record_failure(now_ms)
         elif outcome.reason == REASON_UNREACHABLE:
-            self._avoid_worker(order.task, order.worker_id, now_ms)
+            self._failure_attribution.avoid(order.task, order.worker_id, now_ms)
         if outcome.reason in NOT_STARTED_REASONS and assigned_run.start_attempts == 1:
             del worker.assigned_runs[key]
             return self._handle_task_removal(order.task, order.run, None, now_ms)
@@ -319,6 +325,7 @@
             self._nothing_expires_until_ms = now_ms + PAUSE_GRACE_MS
         if now_ms >= self._nothing_expires_until_ms:
             actions.extend(self._expire_leases_and_orders(now_ms))
+        actions.extend(self._move_units_off_leaving_workers(now_ms))
         actions.extend(self._unrecorded_ends.take_overdue(now_ms))
         return actions
 
@@ -333,6 +340,12 @@
                 actions.extend(self._retry_order(worker, key, assigned_run, now_ms))
         return actions
 
+    def _move_units_off_leaving_workers(self, now_ms):
+        actions = []
+        for moved in self._departures.find_moves(now_ms):
+            actions.extend([moved, *self._stop_unit_run(moved.unit, now_ms)])
+        return actions
+
     def take_found_runs(self):
         """Return (worker id, task, run) of each new run that has no record."""
         return self._found_runs.take_new()
@@ -375,7 +388,7 @@
                 self._unit_runs,
                 self._configuration,
                 self._speeds,
-                self._avoided_workers,
+                self._failure_attribution.avoided_workers,
                 now_ms,
                 wall_ms,
                 self._silence_observer.silent_data_centres
@@ -508,10 +521,9 @@
         """Update the worker's health, and keep the ends that need recording."""
         for end in ends:
             if end.kind == EndKind.FAILED:
-                worker.record_failure(now_ms)
-                self._avoid_worker(end.task, worker.worker_id, now_ms)
+                self._failure_attribution.note_failure(worker, end, now_ms)
             elif end.kind == EndKind.DONE:
-                worker.record_success()
+                self._failure_attribution.note_done(worker, end)
             if self._ledger.has_task(end.task) and needs_recording(end):
                 worker.unrecorded_ends[end.number] = end
                 self._unrecorded_ends.add(end)
@@ -570,12 +582,6 @@
                 orders.extend(self._stop_unit_run(unit, now_ms))
         return orders
 
-    def _avoid_worker(self, task, worker_id, now_ms):
-        """Run a unit elsewhere next, so that a faulty worker fails it only once."""
-        if self._ledger.has_task(task):
-            avoided_until_ms = self._avoided_workers.setdefault(self._unit_of(task), {})
-            avoided_until_ms[worker_id] = now_ms + FAILED_WORKER_AVOIDANCE_MS
-
     def _unit_of(self, task):
         progress = self._ledger.jobs[task.job_id]
         return unit_of_task(task, progress.job.steps[task.step])
--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -18,6 +18,7 @@
 QUARANTINE_INITIAL_MS = 2_000  # doubles with each further failure
 QUARANTINE_MAX_MS = 16_000
 FAILURES_TO_QUARANTINE_COUNT = 2
+MAX_COUNTED_FAILURES_COUNT = 6  # more don't make a quarantine longer
 ORDER_IN_FLIGHT = -1  # in place of a time, in `order_answered_ms`
 COMPLETE_PERCENT = 100.0
 ORDER_TO_REPEAT = -2  # in place of a time, in `order_answered_ms`
@@ -87,7 +88,8 @@
 
     `entry` is its entry in the platform's list of workers, or None if not listed. Keys
     of `assigned_runs` are (task, run); keys of `unrecorded_ends` are end numbers.
-    `is_silent` means that the last hold or order got no answer.
+    `is_silent` means that the last hold or order got no answer. `leaves_at_ms` is the
+    earliest time at which a draining worker may be gone, or None if that is unknown.
     """
 
     def __init__(self, worker_id, incarnation, lease_expiry_ms, lease_ms):
@@ -98,23 +100,40 @@
         self.has_answered = False
         self.last_answer_ms = -1
         self.is_silent = False
+        self.leaves_at_ms = None
         self.last_end_number = 0
         self.unrecorded_ends = {}
         self.quarantined_until_ms = 0
-        self.consecutive_failures = 0
+        self._failure_causes = []
+        self._failure_quarantine_until_ms = -1
         self._restart_noticed_ms = -1
+        self._listed_serving_ms = None
         self._lease_expiry_ms = lease_expiry_ms
         self._lease_ms = lease_ms
         self._worker_clock_ms = 0
         self._worker_clock_read_ms = 0
         self._lease_end_clock_ms = 0
 
+    @property
+    def consecutive_failures(self):
+        """Return how many failures count against this worker since its last success."""
+        return len(self._failure_causes)
+
     @property
     def life(self):
         """Return the worker's present `WorkerLife`."""
         leaving = self.entry is None or self.entry.draining
         return WorkerLife(self.incarnation, leaving)
 
+    @property
+    def is_draining(self):
+        """Return whether the worker is listed as draining in its present life."""
+        return (
+            self.entry is not None
+            and self.entry.draining
+            and self.entry.incarnation == self.incarnation
+        )
+
     @property
     def last_acknowledgeable_end(self):
         """Return the number up to which all ends are recorded or need no record."""
@@ -203,6 +222,7 @@
         if self.entry is not None and self.entry.incarnation == entry.incarnation:
             entry = entry._replace(draining=entry.draining or self.entry.draining)
         self.entry = entry
+        self._note_departure(now_ms)
         return removed
 
     def handle_restart(self, incarnation, now_ms):
@@ -217,6 +237,8 @@
                 removed.append(RemovedRun(assigned_run, EndKind.LAPSED))
         self.incarnation = incarnation
         self._restart_noticed_ms = now_ms
+        self._listed_serving_ms = None
+        self.leaves_at_ms = None
         self.has_answered = False
         self.last_end_number = 0
         self.unrecorded_ends = {}
@@ -269,16 +291,32 @@
             self._keep_unlisted_runs(answer.running, now_ms)
         return removed, tuple(ends), unassigned
 
-    def record_failure(self, now_ms):
-        """Count a failure of this worker; return whether that quarantines it."""
-        self.consecutive_failures += 1
-        if self.consecutive_failures >= FAILURES_TO_QUARANTINE_COUNT:
-            # The limit keeps the shift small; QUARANTINE_MAX_MS is reached before it.
-            doublings = min(self.consecutive_failures - FAILURES_TO_QUARANTINE_COUNT, 4)
-            quarantine_ms = min(QUARANTINE_INITIAL_MS << doublings, QUARANTINE_MAX_MS)
-            self.quarantined_until_ms = now_ms + quarantine_ms
-            return True
-        return False
+    def record_failure(self, now_ms, unit=None):
+        """Count a failure, of a unit if it is known; return whether that quarantines.
+
+        A failure counts until the worker succeeds, or until it is withdrawn.
+        """
+        causes = [*self._failure_causes, unit]
+        self._failure_causes = causes[-MAX_COUNTED_FAILURES_COUNT:]
+        if self.consecutive_failures < FAILURES_TO_QUARANTINE_COUNT:
+            return False
+        doublings = self.consecutive_failures - FAILURES_TO_QUARANTINE_COUNT
+        quarantine_ms = min(QUARANTINE_INITIAL_MS << doublings, QUARANTINE_MAX_MS)
+        self.quarantined_until_ms = now_ms + quarantine_ms
+        self._failure_quarantine_until_ms = self.quarantined_until_ms
+        return True
+
+    def withdraw_failures(self, unit):
+        """Stop counting the failures of a unit, and end a quarantine that needed them.
+
+        A quarantine for another reason stays.
+        """
+        self._failure_causes = [item for item in self._failure_causes if item != unit]
+        if (
+            self.consecutive_failures < FAILURES_TO_QUARANTINE_COUNT
+            and self.quarantined_until_ms == self._failure_quarantine_until_ms
+        ):
+            self.quarantined_until_ms = 0
 
     def is_hanging(self, now_ms, stall_limit_ms_of):
         """Return whether every run that should progress here has stalled.
@@ -306,9 +344,27 @@
 
     def record_success(self):
         """Reset the failure count and end the quarantine."""
-        self.consecutive_failures = 0
+        self._failure_causes = []
         self.quarantined_until_ms = 0
 
+    def _note_departure(self, now_ms):
+        """Update when the worker may be gone, from its entry.
+
+        `remaining_ms` counts from when the entry was written, which was after the last
+        list in which the worker was still serving. An entry that says so from the first
+        may be of any age.
+        """
+        if self.entry.incarnation != self.incarnation:
+            return
+        if not self.entry.draining:
+            self._listed_serving_ms = now_ms
+        elif self.entry.remaining_ms:
+            leaves_at_ms = now_ms
+            if self._listed_serving_ms is not None:
+                leaves_at_ms = self._listed_serving_ms + self.entry.remaining_ms
+            if self.leaves_at_ms is None or leaves_at_ms < self.leaves_at_ms:
+                self.leaves_at_ms = leaves_at_ms
+
     def _update_lease_expiry(self):
         """Compute when the lease has expired even by a slow worker clock."""
         left_ms = max(0, self._lease_end_clock_ms - self._worker_clock_ms)
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -14,9 +14,11 @@
     RunLost,
     StartRun,
     StartsGivenUp,
+    UnitMoved,
     WithdrawStarts,
     WorkerHung,
 )
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -40,7 +42,14 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
-EVENTS = (Preempted, RunLost, WorkerHung, WithdrawStarts, StartsGivenUp)
+RECORDED_TYPES = (
+    Preempted,
+    RunLost,
+    StartsGivenUp,
+    UnitMoved,
+    WorkerHung,
+    WithdrawStarts,
+)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
@@ -119,7 +128,12 @@
         """Append the acceptance of a job to the log."""
         self.append_record(WorkAccepted(job))
 
-    def start_term(self, guaranteed=0, evacuations=NO_EVACUATIONS):
+    def start_term(
+        self,
+        guaranteed=0,
+        evacuations=NO_EVACUATIONS,
+        policies=NO_OVERLOAD_POLICIES,
+    ):
         """Claim the next epoch and start a term with a new dispatcher.
 
         The organisation is guaranteed `guaranteed` accelerators; `evacuations` are
@@ -128,7 +142,7 @@
         self.epoch += 1
         self.append_record(ActingClaimed(self.epoch, f"host{self.epoch}"))
         self.dispatcher = Dispatcher(
-            self.ledger, TIME_LIMITS, create_ordering_policy(), self.now_ms
+            self.ledger, TIME_LIMITS, create_ordering_policy(), self.now_ms, policies
         )
         configured = ConfiguredOrganisation("sahel", ("key",), guaranteed)
         self.dispatcher.configure(ServiceConfiguration(1, (), (configured,)))
@@ -142,6 +156,17 @@
             self.dispatcher.update_workers(tuple(self.entries), self.now_ms)
         )
 
+    def drain(self, worker_id, remaining_ms):
+        """List a worker as draining that has just announced it."""
+        self.apply_worker_list()
+        self.entries = [
+            entry._replace(draining=True, remaining_ms=remaining_ms)
+            if entry.worker_id == worker_id
+            else entry
+            for entry in self.entries
+        ]
+        self.apply_worker_list()
+
     def hold_all(self):
         """Send a hold to every reachable worker, then plan."""
         for entry in self.entries:
@@ -212,7 +237,7 @@
                 self.apply_actions(
                     self.dispatcher.handle_changed_jobs(changed, self.now_ms)
                 )
-            elif isinstance(action, EVENTS):
+            elif isinstance(action, RECORDED_TYPES):
                 self.records.append(action)
             else:
                 self._send_order(action)
@@ -235,4 +260,5 @@
         if isinstance(order, StartRun):
             running[order.task] = TaskRun(order.task, order.run, "", 0)
         elif order.task in running and running[order.task].run == order.run:
-            self.end(order.worker_id, order.task, "stopped")
+            saved = running[order.task].saved
+            self.end(order.worker_id, order.task, "stopped", saved)
