Drain notice: start runs again that can't save and can't end in time

A run that can't save and needs more than twice the time left loses nothing by a stop: it is stopped at once if it has done less than half, else at the last moment.

--- a/knapweedshed/decisions/departures.py
+++ b/knapweedshed/decisions/departures.py
@@ -120,7 +120,7 @@
         return moves
 
     def _ordinary_moves(self, departing, now_ms):
-        """Return the moves of units that can't end in time, and can save."""
+        """Return the moves of units that can't end in time."""
         moves = []
         for item in departing:
             if item.step.lasting:
--- a/knapweedshed/decisions/overload/drain_notice.py
+++ b/knapweedshed/decisions/overload/drain_notice.py
@@ -15,6 +15,12 @@
 # Work counts as done in time only with this margin: a run that is wrongly left to run
 # loses all of its work, one that is wrongly stopped what a stop and a restore take.
 WORK_LEFT_SAFETY_FACTOR = 1.25
+# A run that can't save and needs this many times the time left is lost in any case. It
+# is stopped so that it starts again at once: a run that ends with its worker holds its
+# unit up until the lease has expired. Workers may stay longer than they announce, so
+# one that has done more than half of its work is stopped at the last moment only.
+HOPELESS_FACTOR = 2.0
+HALF_DONE_PERCENT = 50.0
 # A rate from less progress, or over a shorter time, is imprecise: progress is in whole
 # percents, and a start takes a while.
 MIN_RATE_PERCENT = 5.0
@@ -63,12 +69,22 @@
     if WORK_LEFT_SAFETY_FACTOR * work_left_ms <= usable_ms:
         return DrainDecision.ENDS, work_left_ms
     if not step.checkpoints:
-        return DrainDecision.LEAVE, work_left_ms
+        return _decide_unsaved(members, work_left_ms, time_left_ms, limits)
     if is_last_moment(time_left_ms, limits):
         return DrainDecision.STOP, work_left_ms
     return DrainDecision.WAIT, work_left_ms
 
 
+def _decide_unsaved(members, work_left_ms, time_left_ms, limits):
+    """Return the decision on a run that loses all of its work by a stop."""
+    if time_left_ms <= 0 or work_left_ms <= HOPELESS_FACTOR * time_left_ms:
+        return DrainDecision.LEAVE, work_left_ms
+    percent = min(member.percent for member in members)
+    if percent < HALF_DONE_PERCENT or is_last_moment(time_left_ms, limits):
+        return DrainDecision.STOP, work_left_ms
+    return DrainDecision.WAIT, work_left_ms
+
+
 def is_last_moment(time_left_ms, limits):
     """Return whether a stop at the next review may come too late to end in time."""
     return time_left_ms < limits.stop_ms + EXCHANGE_MS + REVIEW_PERIOD_MS
