--- a/tests/host_harness.py
+++ b/tests/host_harness.py
@@ -23,7 +23,7 @@
 class HostProcess:
     """A process of `knapweedshed-host` with its settings file and its log file."""
 
-    def __init__(self, name, store, folder, keep_s=300):
+    def __init__(self, name, store, folder, keep_s=300, limits=None):
         self.front_address = f"127.0.0.1:{free_port()}"
         self.ready_address = f"127.0.0.1:{free_port()}"
         self.metrics_port = free_port()
@@ -33,6 +33,8 @@
             "listen": {"front": self.front_address, "ready": self.ready_address},
             "platform": {"addr": store.address, "keep_s": keep_s},
         }
+        if limits is not None:
+            settings["limits"] = limits
         path = os.path.join(folder, f"{name}.yaml")
         with open(path, "w", encoding="utf-8") as file:
             yaml.safe_dump(settings, file)
@@ -118,9 +120,9 @@
         for worker in self.workers:
             self.addCleanup(worker.close)
 
-    def start_host(self, name, keep_s=300):
+    def start_host(self, name, keep_s=300, limits=None):
         """Start a host and return it once it is ready."""
-        host = HostProcess(name, self.store, self.folder, keep_s)
+        host = HostProcess(name, self.store, self.folder, keep_s, limits)
         self.addCleanup(host.close)
         self.assertTrue(wait_until(host.is_ready, START_TIMEOUT_S), host.log())
         return host
