Bound what clients outside the limits hold of a listener

Callers saw a host grow to 186 MB with 40 unfinished chunked bodies, and got no connection beside 400 silent ones. waitress bounds a body only as it is sent (chunk sizes, extensions and trailers are kept without a limit), parses all pipelined requests of a read at once, and at its connection limit stops to accept. It also waits with select(), which fails from descriptor 1,024 on, and an error while accepting closed the listening socket.

Subclasses of waitress's parser, channel and server now refuse a body as soon as its announced or running size is above the configured one (413), headers and trailers above theirs (431), and endless chunk lines (400); take one pipelined request at a time; and report what they hold to a guard that the server's thread owns. decisions/overload/connection_limits.py says what is closed: for room what has waited longest, for memory what holds most, unknown keys at four times their measure, never a request that has reached the program. While room is short, unfinished requests go after 3 s and idle connections after 15 s. A refused client can read its refusal before the connection is closed. Large bodies are decoded two at a time, and a job's steps are counted before they are built. Urgent data closes a connection, as it made every wait return at once.

--- a/knapweedshed/links/http_server.py
+++ b/knapweedshed/links/http_server.py
@@ -1,20 +1,35 @@
 """HTTP server on waitress (WSGI), with typed requests and responses."""
 
+import logging
+import sys
 import threading
 from collections.abc import Callable
 from typing import NamedTuple
 from urllib.parse import parse_qsl
 
-import waitress
+from waitress.adjustments import Adjustments
+from waitress.task import ThreadedTaskDispatcher
 
 from knapweedshed.clock import MS_PER_SECOND
 from knapweedshed.codecs import json_text
+from knapweedshed.decisions.overload.connection_limits import ListenerLimits
+from knapweedshed.links.bounded_http import BoundedServer
+from knapweedshed.links.connection_guard import ConnectionGuard, Listener
 
-MAX_CONNECTIONS = 1_000
-MAX_BODY_BYTES = 128 * 1024 * 1024
+MAX_FIRST_LINE_BYTES = 4_096
 IDLE_CONNECTION_TIMEOUT_S = 60
 CLOSE_POLL_PERIOD_MS = 50
+ERROR_PAUSE_MS = 50
 MAX_CLOSE_POLLS = 100
+UNREAD_CLOSE_POLLS = 20  # clients that haven't read their answer by then are closed
+TRUSTED_BODY_BYTES = 128 * 1024 * 1024
+# For servers whose clients are programs of this project.
+TRUSTED_LIMITS = ListenerLimits(
+    max_body_bytes=TRUSTED_BODY_BYTES,
+    max_memory_bytes=8 * TRUSTED_BODY_BYTES,
+    max_header_bytes=262_144,
+)
+TRUSTED_LISTENER = Listener("trusted", TRUSTED_LIMITS)
 REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -61,23 +76,51 @@
     Bodies are kept in memory, never spooled to files: the hosts have no disks.
     """
 
-    def __init__(self, addresses, handle, threads, logger):
+    def __init__(self, addresses, handle, threads, logger, listener=TRUSTED_LISTENER):
+        """Bind the addresses; raises OSError if one can't be bound.
+
+        The limits of `listener` hold for all addresses together.
+        """
         self._handle = handle
         self._logger = logger
-        self._server = waitress.create_server(
-            self._application,
+        self._guard = ConnectionGuard(listener, logger)
+        _route_logs_of_waitress(logger)
+        adjustments = Adjustments(
             listen=" ".join(addresses),
             threads=threads,
-            connection_limit=MAX_CONNECTIONS,
-            max_request_body_size=MAX_BODY_BYTES,
-            inbuf_overflow=2 * MAX_BODY_BYTES,
-            outbuf_overflow=2 * MAX_BODY_BYTES,
+            connection_limit=sys.maxsize,  # see `ConnectionGuard`
+            max_request_header_size=(
+                listener.limits.max_header_bytes + MAX_FIRST_LINE_BYTES + 1
+            ),
+            inbuf_overflow=sys.maxsize,
+            outbuf_overflow=sys.maxsize,
             channel_timeout=IDLE_CONNECTION_TIMEOUT_S,
+            log_socket_errors=False,
+            asyncore_use_poll=True,  # select() fails from descriptor 1,024 on
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
+        dispatcher = ThreadedTaskDispatcher()
+        dispatcher.set_thread_count(threads)
+        self._map = {}
+        self._servers = [
+            BoundedServer(
+                self._guard,
+                self._application,
+                self._map,
+                dispatcher,
+                adjustments,
+                sockinfo,
+            )
+            for sockinfo in adjustments.listen
+        ]
+        self._closed_event = threading.Event()
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
+    def tell(self, message):
+        """Pass a `ListenerConfiguration` to the server's thread."""
+        self._guard.tell(message)
+
     def start(self):
         """Start the server thread."""
         self._thread.start()
@@ -89,30 +132,46 @@
         itself closes would never get a response. Waits for connections up to
         `MAX_CLOSE_POLLS` times `CLOSE_POLL_PERIOD_MS`, and 2 s for the thread.
         """
-        self._server.accepting = False
+        for server in self._servers:
+            server.accepting = False
         pause_event = threading.Event()
-        for _ in range(MAX_CLOSE_POLLS):
-            if not self._close_idle_connections():
+        for polls in range(MAX_CLOSE_POLLS):
+            if not self._close_idle_connections(polls >= UNREAD_CLOSE_POLLS):
                 break
             pause_event.wait(CLOSE_POLL_PERIOD_MS / MS_PER_SECOND)
-        self._server.close()
+        self._closed_event.set()
+        for server in self._servers:
+            server.close()
         self._thread.join(timeout=2)
 
-    def _close_idle_connections(self):
-        """Close connections without a pending request; return how many were open."""
-        channels = list(getattr(self._server, "active_channels", {}).values())
-        for channel in channels:
-            if not channel.requests and not channel.total_outbufs_len:
-                channel.close_when_flushed = True
-        if channels:
-            self._server.pull_trigger()
-        return len(channels)
+    def _close_idle_connections(self, with_unread):
+        """Close connections without a pending request; return how many were open.
+
+        `with_unread` includes those whose last answer the client hasn't read.
+        """
+        count = 0
+        for server in self._servers:
+            channels = list(server.active_channels.values())
+            for channel in channels:
+                if channel.requests:
+                    continue
+                if not channel.total_outbufs_len:
+                    channel.close_when_flushed = True
+                elif with_unread:
+                    channel.will_close = True
+            if channels:
+                server.pull_trigger()
+            count += len(channels)
+        return count
 
     def _run(self):
-        try:
-            self._server.run()
-        except OSError:
-            return
+        """Run the loop over all connections; go on after an error in it."""
+        while not self._closed_event.is_set():
+            try:
+                self._servers[0].run()
+            except Exception:
+                if not self._closed_event.wait(ERROR_PAUSE_MS / MS_PER_SECOND):
+                    self._logger.exception("listener failed")
 
     def _application(self, environ, start_response):
         request = HttpRequest(
@@ -136,3 +195,14 @@
         ]
         start_response(status, headers)
         return [response.body]
+
+
+def _route_logs_of_waitress(logger):
+    """Write waitress's lines through the rate limit of `logger`'s handlers.
+
+    The length of its queue would be logged with each request.
+    """
+    waitress_logger = logging.getLogger("waitress")
+    waitress_logger.handlers = list(logger.handlers)
+    waitress_logger.propagate = False
+    logging.getLogger("waitress.queue").setLevel(logging.ERROR)
--- a/knapweedshed/links/service.py
+++ b/knapweedshed/links/service.py
@@ -92,6 +92,10 @@
     def encode(self, reply):
         """Return the `HttpResponse` for a `WorkReply`."""
 
+    @abstractmethod
+    def find_api_key(self, headers):
+        """Return the API key in a request's headers, looked up by name, or ""."""
+
 
 class ServicePlatform(ABC):
     """Creates the adapters of one platform."""
--- a/knapweedshed/links/work_front.py
+++ b/knapweedshed/links/work_front.py
@@ -1,10 +1,18 @@
 """HTTP servers of a host: the API for multi-step jobs, readiness checks and metrics."""
 
+import threading
+from functools import singledispatchmethod
+
 import pykka
 
-from knapweedshed.actors import tell
+from knapweedshed.actors import Actor, stop, tell
 from knapweedshed.clock import MS_PER_SECOND
-from knapweedshed.controllers.work_messages import CallReceived, ReadinessAsked
+from knapweedshed.controllers.work_messages import (
+    CallReceived,
+    ReadinessAsked,
+    ServiceConfigurationUpdated,
+)
+from knapweedshed.links.connection_guard import Listener, ListenerConfiguration
 from knapweedshed.links.http_server import HttpResponse, HttpServer
 from knapweedshed.models.calls import WorkReply
 from knapweedshed.results import Result, ResultCode
@@ -16,15 +24,22 @@
 READINESS_TIMEOUT_MS = 500
 REPLY_MARGIN_MS = 30  # for a reply to reach its caller before the deadline
 MIN_REPLY_WAIT_MS = 200  # longer than the append of a call that comes late
+# A decoded body may take 20 times its size; few are decoded at the same time.
+LARGE_BODY_BYTES = 16_384
+MAX_LARGE_DECODINGS = 2
 
 
 class MetricsServer:
     """HTTP server that exposes metrics in the Prometheus text format."""
 
-    def __init__(self, context, address):
+    def __init__(self, context, address, limits):
         self._metrics = context.metrics
         self._server = HttpServer(
-            (address,), self._handle, METRICS_THREADS, context.logger
+            (address,),
+            self._handle,
+            METRICS_THREADS,
+            context.logger,
+            Listener("metrics", limits, metrics=context.metrics, clock=context.clock),
         )
 
     def start(self):
@@ -43,21 +58,78 @@
         )
 
 
+class ListenerConfigurationRelay(Actor):
+    """Passes the size of a body and the API keys in force to a server's listener."""
+
+    def __init__(self, context, server):
+        super().__init__(context)
+        self._server = server
+        self._version = -1
+
+    @singledispatchmethod
+    def receive(self, message):
+        """Handle a message by its type."""
+        super().receive(message)
+
+    @receive.register
+    def update_configuration(self, message: ServiceConfigurationUpdated):
+        """Pass on a configuration that is newer than the last one."""
+        configuration = message.configuration
+        if configuration.version <= self._version:
+            return
+        self._version = configuration.version
+        api_keys = frozenset(
+            key
+            for organisation in configuration.organisations
+            for key in organisation.api_keys
+        )
+        self._server.tell(ListenerConfiguration(configuration.max_body_bytes, api_keys))
+
+
 class JobApiServer:
     """HTTP servers for callers of multi-step jobs and for readiness checks."""
 
-    def __init__(self, context, codec, calls, jobs, addresses):
+    def __init__(self, context, codec, calls, jobs, addresses, limits):
+        """`addresses` and `limits` are those of (callers, readiness checks)."""
         self._context = context
         self._codec = codec
         self._calls = calls
         self._jobs = jobs
         self._not_ready = False
         api_address, readiness_address = addresses
-        logger = context.logger
-        self._server = HttpServer((api_address,), self._handle, CALL_THREADS, logger)
+        callers_limits, readiness_limits = limits
+        self._large_decodings = threading.BoundedSemaphore(MAX_LARGE_DECODINGS)
+        self._server = HttpServer(
+            (api_address,),
+            self._handle,
+            CALL_THREADS,
+            context.logger,
+            Listener(
+                "callers",
+                callers_limits,
+                codec.find_api_key,
+                context.metrics,
+                context.clock,
+            ),
+        )
         self._readiness_server = HttpServer(
-            (readiness_address,), self._handle_readiness, READINESS_THREADS, logger
+            (readiness_address,),
+            self._handle_readiness,
+            READINESS_THREADS,
+            context.logger,
+            Listener(
+                "readiness",
+                readiness_limits,
+                metrics=context.metrics,
+                clock=context.clock,
+            ),
         )
+        self._relay = ListenerConfigurationRelay.start(context, self._server)
+
+    @property
+    def configuration_receiver(self):
+        """The actor that is told `ServiceConfigurationUpdated`."""
+        return self._relay
 
     def start(self):
         """Start serving."""
@@ -72,10 +144,11 @@
         """Stop both servers after the responses in progress have been sent."""
         self._server.close()
         self._readiness_server.close()
+        stop(self._relay)
 
     def _handle(self, request):
         now_ms = self._context.clock.now_ms()
-        work_call = self._codec.decode(request, self._context.new_id(), now_ms)
+        work_call = self._decode(request, now_ms)
         if work_call is None:
             return HttpResponse(404)
         reply = pykka.ThreadingFuture()
@@ -90,6 +163,13 @@
             work_reply = WorkReply(Result(ResultCode.OUTCOME_UNKNOWN, reason))
         return self._codec.encode(work_reply)
 
+    def _decode(self, request, now_ms):
+        call_id = self._context.new_id()
+        if len(request.body) <= LARGE_BODY_BYTES:
+            return self._codec.decode(request, call_id, now_ms)
+        with self._large_decodings:
+            return self._codec.decode(request, call_id, now_ms)
+
     def _handle_readiness(self, request):
         if self._not_ready:
             return HttpResponse(503)
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -4,6 +4,7 @@
 
 from knapweedshed.codecs import json_text
 from knapweedshed.codecs.json_text import DECODE_ERRORS
+from knapweedshed.decisions.job_limits import MAX_STEPS_COUNT
 from knapweedshed.links.http_server import HttpResponse, json_response
 from knapweedshed.links.service import CallerCodec
 from knapweedshed.models.calls import CallKind, JobDraft, WorkCall
@@ -44,7 +45,7 @@
         if kind is None:
             return None
         host = request.headers("Host").rpartition(":")[0] or request.headers("Host")
-        key = request.headers("Authorization").removeprefix(AUTHORIZATION_SCHEME)
+        key = self.find_api_key(request.headers)
         draft, body_error = None, ""
         if kind == CallKind.SUBMIT:
             draft, body_error = _decode_draft(request.body)
@@ -78,6 +79,10 @@
             return json_response({"waiting": reply.waiting})
         return HttpResponse(200, b"{}")
 
+    def find_api_key(self, headers):
+        """Return the API key in a request's headers, looked up by name, or ""."""
+        return headers("Authorization").removeprefix(AUTHORIZATION_SCHEME)
+
 
 def _parse_time_left_ms(value):
     is_number = value.isascii() and value.isdigit() and len(value) < 10
@@ -93,6 +98,8 @@
             return None, "spec must be text"
         if len(specification.encode()) > MAX_SPECIFICATION_BYTES:
             return None, f"spec must have {MAX_SPECIFICATION_BYTES} bytes at most"
+        if len(fields["steps"]) > MAX_STEPS_COUNT:  # decoded steps take 100 times more
+            return None, f"a job has 1 to {MAX_STEPS_COUNT} steps"
         steps = tuple(_decode_step(item) for item in fields["steps"])
         draft = JobDraft(
             specification,
--- a/knapweedshed/programs/entry.py
+++ b/knapweedshed/programs/entry.py
@@ -20,9 +20,11 @@
 from knapweedshed.controllers.requests import ConnectRequests, RequestsController
 from knapweedshed.controllers.runners import RunnersController
 from knapweedshed.controllers.submissions import SubmissionsController
+from knapweedshed.decisions.overload.connection_limits import DEFAULT_CONNECTION_COUNT
 from knapweedshed.links import http_platform  # noqa: F401 - registers the adapter
 from knapweedshed.links.answers import AnswersLink
 from knapweedshed.links.callers import EntryApi
+from knapweedshed.links.connection_guard import Listener
 from knapweedshed.links.hosts import HOST_LIST_PERIOD_MS, HostsLink
 from knapweedshed.links.http_server import HttpServer
 from knapweedshed.links.log import LogAppender, LogTail
@@ -35,6 +37,10 @@
 from knapweedshed.links.runners import RunnerLink
 from knapweedshed.models import wire
 from knapweedshed.programs.daemon import Daemon, daemon_factory, run_daemon
+from knapweedshed.programs.listener_settings import (
+    create_listener_limits,
+    listener_settings,
+)
 from knapweedshed.programs.state_dump import ask_actor, collect_state
 from knapweedshed.settings import COMMON_SETTINGS, Setting
 from knapweedshed.timers import Timer
@@ -42,11 +48,13 @@
 TICK_PERIOD_MS = 200
 HEARTBEAT_PERIOD_MS = 1_000
 ANSWER_LINK_COUNT = 4
+MAX_BODY_BYTES = 128 * 1024 * 1024
 
 SETTINGS = (
     *COMMON_SETTINGS,
     Setting("threads", "count", 64, "threads that serve requests"),
     Setting("waiting_threads", "count", 48, "of these, threads for requests that wait"),
+    *listener_settings(MAX_BODY_BYTES, 4 * MAX_BODY_BYTES),
     Setting("runner_calls", "count", 64, "concurrent calls to runners"),
 )
 
@@ -107,6 +115,12 @@
                 entry_api.handle,
                 settings.threads,
                 context.logger,
+                Listener(
+                    "callers",
+                    _create_limits(settings),
+                    metrics=context.metrics,
+                    clock=context.clock,
+                ),
             )
         except OSError:
             stop_all(self._actors())
@@ -210,6 +224,14 @@
         ]
 
 
+def _create_limits(settings):
+    """Return the `ListenerLimits` of an entry; nothing is known of its machine."""
+    limits = create_listener_limits(settings)
+    return limits._replace(
+        max_connections=limits.max_connections or DEFAULT_CONNECTION_COUNT
+    )
+
+
 def main():
     """Run an entry process."""
     sys.exit(
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -28,6 +28,10 @@
     UseLogTail,
     UseWorkerFeed,
 )
+from knapweedshed.decisions.overload.connection_limits import (
+    ListenerLimits,
+    derive_host_limits,
+)
 from knapweedshed.links.fanout import Fanout
 from knapweedshed.links.feeds import ConfigurationFeedLink, WorkerFeedLink
 from knapweedshed.links.log import LogAppender, LogTail
@@ -37,6 +41,10 @@
 from knapweedshed.metrics import PrometheusMetrics, create_metrics
 from knapweedshed.models.work_records import WORK_STREAM
 from knapweedshed.programs.daemon import Daemon, run_daemon
+from knapweedshed.programs.listener_settings import (
+    create_listener_limits,
+    listener_settings,
+)
 from knapweedshed.programs.state_dump import collect_state
 from knapweedshed.settings import Setting, SettingsError
 from knapweedshed.timers import Timer
@@ -58,6 +66,7 @@
         "",
         "policies for overload, separated by commas; empty: none",
     ),
+    *listener_settings(ListenerLimits().max_body_bytes, 0),
     Setting("statsd", "optional_address", "", "ip:port of statsd; empty: none"),
     Setting("log_level", "level", "info", "debug, info, warning or error"),
 )
@@ -88,18 +97,26 @@
             context.settings.overload_policies,
         )
         self._platform = platform
+        callers_limits, side_limits = derive_host_limits(
+            create_listener_limits(context.settings),
+            settings.memory_bytes,
+            settings.max_descriptors,
+        )
         self._job_api_server = JobApiServer(
             context,
             platform.caller_codec(),
             self._calls,
             self._jobs,
             (settings.call_address, settings.readiness_address),
+            (callers_limits, side_limits),
         )
         self._metrics_server = None
         if context.settings.metrics_port:
             call_host, _, _ = settings.call_address.rpartition(":")
             port = context.settings.metrics_port
-            self._metrics_server = MetricsServer(context, f"{call_host}:{port}")
+            self._metrics_server = MetricsServer(
+                context, f"{call_host}:{port}", side_limits
+            )
         self._links = ()
 
     def start(self):
@@ -122,7 +139,12 @@
             context,
             platform.configuration_feed(),
             timer,
-            (self._calls, self._jobs, self._scheduling),
+            (
+                self._job_api_server.configuration_receiver,
+                self._calls,
+                self._jobs,
+                self._scheduling,
+            ),
         )
         worker_feed = WorkerFeedLink.start(
             context, platform.worker_feed(), timer, self._scheduling
