Move the limit on queued short requests into the package for overload

decisions/overload/ hid the module decisions/overload.py since, so that knapweedshed-entry ended with an ImportError at its start. This commit only moves the module to decisions/overload/waiting_limit.py.

--- a/knapweedshed/controllers/runners.py
+++ b/knapweedshed/controllers/runners.py
@@ -14,7 +14,7 @@
 )
 from knapweedshed.controllers.messages import RunnersChanged, Tick
 from knapweedshed.decisions.health import HealthTracker
-from knapweedshed.decisions.overload import WaitingLimit
+from knapweedshed.decisions.overload.waiting_limit import WaitingLimit
 from knapweedshed.decisions.prediction import create_predictor
 from knapweedshed.decisions.routing import (
     RunnerView,
--- a/scripts/measure_runners.py
+++ b/scripts/measure_runners.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from knapweedshed.decisions.overload import WaitingLimit
+from knapweedshed.decisions.overload.waiting_limit import WaitingLimit
 from knapweedshed.decisions.prediction import create_predictor
 from knapweedshed.decisions.routing import (
     RunnerView,
