--- a/knapweedshed/links/peers.py
+++ b/knapweedshed/links/peers.py
@@ -8,6 +8,7 @@
 
 import threading
 from functools import singledispatchmethod
+from socket import SHUT_RDWR
 from typing import NamedTuple
 
 from websockets.exceptions import ConnectionClosed, WebSocketException
@@ -31,6 +32,8 @@
 RECONNECT_DELAY_MS = 500
 MAX_MESSAGE_BYTES = 128 * 1024 * 1024
 MAX_QUEUED_MESSAGES = 10_000
+HANDSHAKE_TIMEOUT_MS = 3_000
+DEFAULT_PEER_COUNT = 256  # a scheduler at the design scale has 56 connections
 
 
 class _ConnectionClosed(NamedTuple):
@@ -58,12 +61,72 @@
         _send(self._socket, message.message)
 
 
+class PeerSlots:
+    """Limits the open connections of a server that has a thread for each.
+
+    At the limit, the connection that has gone longest without completing its handshake
+    is closed for a new one.
+    """
+
+    def __init__(self, context, max_peers):
+        self._context = context
+        self._max_peers = max_peers
+        self._lock = threading.Lock()
+        self._opening = {}  # a set of sockets, oldest first
+        self._count = 0
+
+    def take(self, raw_socket):
+        """Return whether a new connection may stay."""
+        with self._lock:
+            admitted = self._count < self._max_peers or self._close_oldest()
+            if admitted:
+                self._count += 1
+                self._opening[raw_socket] = None
+            count = self._count
+        if not admitted or count > self._max_peers:
+            self._context.metrics.count("connections.peers.closed.connections")
+            self._context.logger.warning(
+                "connections limited",
+                extra={
+                    "listener": "peers",
+                    "cause": "closed.connections",
+                    "connections": count,
+                    "max_connections": self._max_peers,
+                },
+            )
+        return admitted
+
+    def note_open(self, raw_socket):
+        """Note that a connection has completed its handshake."""
+        with self._lock:
+            self._opening.pop(raw_socket, None)
+
+    def release(self, raw_socket):
+        """Note that a connection has ended."""
+        with self._lock:
+            self._opening.pop(raw_socket, None)
+            self._count -= 1
+
+    def _close_oldest(self):
+        """Wake the thread of the oldest unfinished handshake, which then ends."""
+        if not self._opening:
+            return False
+        raw_socket = next(iter(self._opening))
+        del self._opening[raw_socket]
+        try:
+            raw_socket.shutdown(SHUT_RDWR)
+        except OSError:  # closed already
+            pass
+        return True
+
+
 class PeerServer:
     """Accepts connections and passes incoming messages to the receiver."""
 
-    def __init__(self, context, address, receiver):
+    def __init__(self, context, address, receiver, max_peers=DEFAULT_PEER_COUNT):
         self._context = context
         self._receiver = receiver
+        self._slots = PeerSlots(context, max_peers)
         host, _, port = address.rpartition(":")
         self._server = serve(
             self._handle,
@@ -72,8 +135,11 @@
             max_size=MAX_MESSAGE_BYTES,
             compression=None,
             ping_interval=None,
+            open_timeout=HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND,
             logger=context.logger,
         )
+        self._handle_socket = self._server.handler
+        self._server.handler = self._handle_limited
         self._thread = threading.Thread(
             target=self._server.serve_forever, name="peers", daemon=True
         )
@@ -87,7 +153,20 @@
         self._server.shutdown()
         self._thread.join(timeout=2)
 
+    def _handle_limited(self, raw_socket, address):
+        """Handle an accepted connection, or close it if there are too many."""
+        if self._slots.take(raw_socket):
+            try:
+                self._handle_socket(raw_socket, address)
+            finally:
+                self._slots.release(raw_socket)
+            return
+        raw_socket.close()
+        with self._server.lock:
+            self._server.handler_threads.discard(threading.current_thread())
+
     def _handle(self, socket):
+        self._slots.note_open(socket.socket)
         connection = PeerConnection.start(self._context, socket)
         tell(self._receiver, PeerConnected(connection))
         _read_until_closed(
--- a/knapweedshed/programs/scheduler.py
+++ b/knapweedshed/programs/scheduler.py
@@ -27,7 +27,7 @@
 from knapweedshed.links.hosts import HOST_LIST_PERIOD_MS, HostsLink
 from knapweedshed.links.inputs import InputsLink
 from knapweedshed.links.log import LogAppender, LogTail
-from knapweedshed.links.peers import PeerLink, PeerServer
+from knapweedshed.links.peers import DEFAULT_PEER_COUNT, PeerLink, PeerServer
 from knapweedshed.links.platform import create_platform
 from knapweedshed.models import wire
 from knapweedshed.programs.daemon import Daemon, daemon_factory, run_daemon
@@ -44,6 +44,7 @@
     *COMMON_SETTINGS,
     Setting("lease_ms", "milliseconds", 15_000, "minimum lease term"),
     Setting("renew_ms", "milliseconds", 4_000, "minimum renewal period"),
+    Setting("max_peers", "count", DEFAULT_PEER_COUNT, "connections of peers"),
 )
 
 
@@ -79,7 +80,9 @@
         )
         self._peer_router = self._create_peer_router()
         try:
-            self._server = PeerServer(context, settings.listen, self._peer_router)
+            self._server = PeerServer(
+                context, settings.listen, self._peer_router, settings.max_peers
+            )
         except OSError:
             stop_all(self._actors())
             raise
