Log and count every ordered stop with its cause

The dispatcher now returns one RunStopped for each stop, a gang once: cause, lowest progress, run time, whether a state was saved. It is logged as "run stopped", counted as stops.<cause> and understood by knapweedshed explain. No decision changes. To keep dispatch.py short, the run of a found task is built in found_runs; the log line of an event is chosen by its type in decision_log.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -1,8 +1,18 @@
 """Log lines for the decisions of the acting scheduler, with their reasons."""
 
+from functools import singledispatchmethod
+
 from knapweedshed.decisions.units import critical_path_ms
+from knapweedshed.models.dispatch_actions import (
+    Preempted,
+    RunLost,
+    RunStopped,
+    WorkerHung,
+)
 
+EVENT_TYPES = (Preempted, RunLost, RunStopped, WorkerHung)
 MAX_JOBS = 20  # ids in one line
+MAX_WORKERS = 20  # ids in one line
 
 
 class DecisionLog:
@@ -68,7 +78,13 @@
             },
         )
 
-    def log_preemption(self, preempted):
+    @singledispatchmethod
+    def log_event(self, event):
+        """Log an event that the dispatcher has returned, one of `EVENT_TYPES`."""
+        raise TypeError(f"no log line for {type(event).__name__}")
+
+    @log_event.register
+    def log_preemption(self, preempted: Preempted):
         """Log the preempted units, the job that needs their capacity, and lost work."""
         self._context.metrics.count("preempted", len(preempted.units))
         self._logger.info(
@@ -81,7 +97,26 @@
             },
         )
 
-    def log_lost_run(self, lost):
+    @log_event.register
+    def log_stop(self, stopped: RunStopped):
+        """Log why a run was ordered to stop, and how far it had come."""
+        self._context.metrics.count(f"stops.{stopped.cause.name.lower()}")
+        self._logger.info(
+            "run stopped",
+            extra={
+                "job": stopped.unit.job_id,
+                "unit": list(stopped.unit[1:]),
+                "run": stopped.run,
+                "cause": str(stopped.cause),
+                "percent": stopped.percent,
+                "ran_ms": stopped.ran_ms,
+                "has_checkpoint": stopped.has_checkpoint,
+                "workers": list(stopped.worker_ids[:MAX_WORKERS]),
+            },
+        )
+
+    @log_event.register
+    def log_lost_run(self, lost: RunLost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
         self._context.metrics.count(f"runs.{lost.kind}")
         self._logger.info(
@@ -95,7 +130,8 @@
             },
         )
 
-    def log_worker_hang(self, hang):
+    @log_event.register
+    def log_worker_hang(self, hang: WorkerHung):
         """Log a worker that gets no more work because its runs make no progress."""
         self._context.metrics.count("workers.hang")
         self._logger.warning(
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -9,7 +9,7 @@
 from knapweedshed.actors import tell
 from knapweedshed.codecs import json_text
 from knapweedshed.controllers.base import Controller
-from knapweedshed.controllers.decision_log import DecisionLog
+from knapweedshed.controllers.decision_log import EVENT_TYPES, DecisionLog
 from knapweedshed.controllers.messages import (
     AppendDone,
     AppendFailed,
@@ -57,12 +57,9 @@
     REASON_FENCE,
     REASON_NOT_SENT,
     OrderOutcome,
-    Preempted,
     RecordLaunches,
     RecordTaskEnds,
-    RunLost,
     WithdrawStarts,
-    WorkerHung,
 )
 from knapweedshed.models.outcomes import FAILURE_TYPES
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
@@ -457,12 +454,8 @@
             elif isinstance(action, RecordLaunches):
                 self._decision_log.log_launches(action.launches)
                 self._append_record(RunsLaunched(self._ledger.epoch, action.launches))
-            elif isinstance(action, Preempted):
-                self._decision_log.log_preemption(action)
-            elif isinstance(action, RunLost):
-                self._decision_log.log_lost_run(action)
-            elif isinstance(action, WorkerHung):
-                self._decision_log.log_worker_hang(action)
+            elif isinstance(action, EVENT_TYPES):
+                self._decision_log.log_event(action)
             elif isinstance(action, WithdrawStarts):
                 self._worker_links.withdraw_starts(action.worker_id)
             elif self._election.may_send_orders(self._ledger, self._now_ms()):
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,7 +6,7 @@
 successor knows everywhere a run may exist.
 """
 
-from knapweedshed.decisions.found_runs import FoundRuns
+from knapweedshed.decisions.found_runs import FoundRuns, stopping_run
 from knapweedshed.decisions.hang_detection import (
     HANG_QUARANTINE_MS,
     find_hanging_workers,
@@ -16,6 +16,13 @@
     shows_silence,
     withdraw_starts,
 )
+from knapweedshed.decisions.overload.stop_causes import (
+    cause_of_broken_gang,
+    cause_of_ended_job,
+    cause_of_preemption,
+    describe_task_stop,
+    describe_unit_stop,
+)
 from knapweedshed.decisions.pauses import PauseDetector
 from knapweedshed.decisions.planning_units import UnitPlanner, UnitPlanningInput
 from knapweedshed.decisions.preemption_claims import PreemptionClaims
@@ -44,10 +51,11 @@
     RecordLaunches,
     RunLost,
     StartRun,
+    StopCause,
     StopRun,
 )
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
-from knapweedshed.models.work import EndKind, Resources, tasks_of_unit, unit_of_task
+from knapweedshed.models.work import EndKind, tasks_of_unit, unit_of_task
 from knapweedshed.models.work_records import Launched
 
 MAX_START_ATTEMPTS_COUNT = 3  # must fit in the time that a gang waits for its members
@@ -206,7 +214,7 @@
             self._avoid_worker(order.task, order.worker_id, now_ms)
         if outcome.reason in NOT_STARTED_REASONS and assigned_run.start_attempts == 1:
             del worker.assigned_runs[key]
-            return self._handle_task_removal(order.task, order.run, None, now_ms)
+            return self._handle_task_removal(None, order.task, order.run, None, now_ms)
         if (
             outcome.kind == ORDER_UNKNOWN
             and assigned_run.start_attempts < MAX_START_ATTEMPTS_COUNT
@@ -215,7 +223,8 @@
                 start_attempts=assigned_run.start_attempts + 1
             )
             return [order]
-        return self._stop_assigned_run(worker, key, now_ms)
+        cause = StopCause.START_NOT_CONFIRMED
+        return self._stop_assigned_run(worker, key, cause, now_ms)
 
     def handle_changed_jobs(self, job_ids, now_ms):
         """Stop all runs of those changed jobs that are over; return orders."""
@@ -224,9 +233,10 @@
             progress = self._ledger.jobs.get(job_id)
             if progress is None or progress.active:
                 continue
+            cause = cause_of_ended_job(progress)
             for unit, unit_run in list(self._unit_runs.items()):
                 if unit.job_id == job_id and not unit_run.ending:
-                    orders.extend(self._stop_unit_run(unit, now_ms))
+                    orders.extend(self._stop_unit_run(unit, cause, now_ms))
         return orders
 
     def confirm_ends(self, ends):
@@ -365,8 +375,9 @@
                 preempted.lost_core_s,
                 now_ms,
             )
+            cause = cause_of_preemption(preempted)
             for unit in preempted.units:
-                actions.extend(self._stop_unit_run(unit, now_ms))
+                actions.extend(self._stop_unit_run(unit, cause, now_ms))
         launches = [
             self._assign_unit(unit, worker_ids, now_ms)
             for unit, worker_ids in plan.starts
@@ -457,7 +468,9 @@
             worker.quarantine(now_ms + HANG_QUARANTINE_MS)
             actions.append(hang)
             for key in movable:
-                actions.extend(self._stop_assigned_run(worker, key, now_ms))
+                actions.extend(
+                    self._stop_assigned_run(worker, key, StopCause.WORKER_HANGS, now_ms)
+                )
         return actions
 
     def _retry_order(self, worker, key, assigned_run, now_ms):
@@ -473,7 +486,8 @@
         if assigned_run.order_answered_ms != ORDER_TO_REPEAT and not timed_out:
             return []
         if assigned_run.phase == RunPhase.STARTING:
-            return self._stop_assigned_run(worker, key, now_ms)
+            cause = StopCause.START_NOT_CONFIRMED
+            return self._stop_assigned_run(worker, key, cause, now_ms)
         worker.assigned_runs[key] = assigned_run._replace(
             order_answered_ms=ORDER_IN_FLIGHT, ordered_ms=now_ms
         )
@@ -546,7 +560,7 @@
             unit = self._unit_of(end.task)
             unit_run = self._unit_runs.get(unit)
             if unit_run is not None and unit_run.run > end.run and not unit_run.ending:
-                orders.extend(self._stop_unit_run(unit, now_ms))
+                orders.extend(self._stop_unit_run(unit, StopCause.SUPERSEDED, now_ms))
         return orders
 
     def _avoid_worker(self, task, worker_id, now_ms):
@@ -565,30 +579,20 @@
         Forgets the worker if it is not listed any more and has no runs left.
         """
         orders = []
-        for removed_run in removed_runs:
-            if removed_run.kind in LOST_RUN_KINDS:
-                orders.append(
-                    RunLost(
-                        worker.worker_id,
-                        removed_run.assigned_run.task,
-                        removed_run.assigned_run.run,
-                        removed_run.kind,
-                    )
-                )
-            orders.extend(
-                self._handle_task_removal(
-                    removed_run.assigned_run.task,
-                    removed_run.assigned_run.run,
-                    removed_run.kind,
-                    now_ms,
-                )
-            )
+        for assigned_run, kind, _ in removed_runs:
+            key = (assigned_run.task, assigned_run.run)
+            if kind in LOST_RUN_KINDS:
+                orders.append(RunLost(worker.worker_id, *key, kind))
+            orders.extend(self._handle_task_removal(worker, *key, kind, now_ms))
         if worker.entry is None and not worker.assigned_runs:
             self._workers.pop(worker.worker_id, None)
         return orders
 
-    def _handle_task_removal(self, task, run, kind, now_ms):
-        """Remove a task from its unit's run; stop the rest unless the task is done."""
+    def _handle_task_removal(self, worker, task, run, kind, now_ms):
+        """Remove a task from its unit's run; stop the rest unless the task is done.
+
+        `worker` is where it ran, or None if it was not started.
+        """
         if not self._ledger.has_task(task):
             return []
         unit = self._unit_of(task)
@@ -601,22 +605,26 @@
             return []
         if kind == EndKind.DONE or unit_run.ending:
             return []
-        return self._stop_unit_run(unit, now_ms)
+        return self._stop_unit_run(unit, cause_of_broken_gang(worker), now_ms)
 
-    def _stop_unit_run(self, unit, now_ms):
-        """Stop the remaining tasks of a unit's run; return orders."""
+    def _stop_unit_run(self, unit, cause, now_ms):
+        """Stop the remaining tasks of a unit's run; return orders and the event."""
         unit_run = self._unit_runs[unit]
         self._unit_runs[unit] = unit_run._replace(ending=True)
         if not unit_run.launched:
             return []
-        orders = []
+        ledger, workers = self._ledger, self._workers
+        orders = describe_unit_stop(unit_run, cause, ledger, workers, now_ms)
         for task, worker_id in unit_run.workers_by_task.items():
-            worker = self._workers[worker_id]
-            orders.extend(self._stop_assigned_run(worker, (task, unit_run.run), now_ms))
+            worker, key = self._workers[worker_id], (task, unit_run.run)
+            orders.extend(self._stop_assigned_run(worker, key, None, now_ms))
         return orders
 
-    def _stop_assigned_run(self, worker, key, now_ms):
-        """Stop one task's run and the rest of its unit's run; return orders."""
+    def _stop_assigned_run(self, worker, key, cause, now_ms):
+        """Stop one task's run and the rest of its unit's run; return orders.
+
+        `cause` is None if the stop of its unit has been described.
+        """
         assigned_run = worker.assigned_runs.get(key)
         if assigned_run is None or assigned_run.phase == RunPhase.STOPPING:
             return []
@@ -626,12 +634,14 @@
             ordered_ms=now_ms,
         )
         orders = [StopRun(worker.worker_id, *key)]
-        if not self._ledger.has_task(key[0]):
-            return orders
-        unit = self._unit_of(key[0])
+        unit = self._unit_of(key[0]) if self._ledger.has_task(key[0]) else None
         unit_run = self._unit_runs.get(unit)
         if unit_run is not None and unit_run.run == key[1] and not unit_run.ending:
-            orders.extend(self._stop_unit_run(unit, now_ms))
+            orders.extend(self._stop_unit_run(unit, cause, now_ms))
+        elif cause is not None:
+            orders.extend(
+                describe_task_stop(worker, assigned_run, cause, self._ledger, now_ms)
+            )
         return orders
 
     def _stop_if_ended(self, worker, key, now_ms):
@@ -642,25 +652,17 @@
         unit_run = self._unit_runs.get(self._unit_of(key[0]))
         if unit_run is not None and unit_run.run == key[1] and not unit_run.ending:
             return []
-        return self._stop_assigned_run(worker, key, now_ms)
+        cause = cause_of_ended_job(self._ledger.jobs.get(key[0].job_id))
+        return self._stop_assigned_run(worker, key, cause, now_ms)
 
     def _stop_unassigned_run(self, worker, listed, now_ms):
         """Stop a run without a launch record of this scheduler or a predecessor.
 
         Its unit does not start again before the run's end is listed or its lease over.
+        The log line of the found run describes the stop.
         """
-        progress = self._ledger.jobs.get(listed.task.job_id)
-        need = Resources()
-        if progress is not None and listed.task.step < len(progress.job.steps):
-            need = progress.job.steps[listed.task.step].need
-        worker.assigned_runs[listed.task, listed.run] = AssignedRun(
-            listed.task,
-            listed.run,
-            need,
-            RunPhase.STOPPING,
-            ORDER_IN_FLIGHT,
-            now_ms,
-            ordered_ms=now_ms,
+        worker.assigned_runs[listed.task, listed.run] = stopping_run(
+            listed, self._ledger, now_ms
         )
         self._found_runs.add(worker.worker_id, listed.task, listed.run)
         return StopRun(worker.worker_id, listed.task, listed.run)
--- a/knapweedshed/decisions/explanation.py
+++ b/knapweedshed/decisions/explanation.py
@@ -9,6 +9,8 @@
 from statistics import median
 from typing import NamedTuple
 
+from knapweedshed.models.dispatch_actions import StopCause
+
 SHARED_MESSAGE_KEYS = {"role claimed": "epoch", "configuration in force": "version"}
 ROLE_MESSAGES = ("role claimed", "acting", "not acting any more")
 LOG_OUTAGE_MESSAGES = ("log unreachable", "log reachable again")
@@ -41,6 +43,8 @@
     TAKEOVER = "held up by a takeover"
     PREEMPTED = "gave way to other work"
     WAITED_FOR_CAPACITY = "waited for room"
+    WORKER_LEFT = "stopped as its worker was leaving"
+    SUPERSEDED = "stopped as another run had ended it"
     ORDER_NOT_DONE = "a worker refused or did not answer an order"
     LEASE_LAPSED = "a worker was out of reach until its lease had lapsed"
     EXCEEDED_OBJECTIVE = "ran longer than its objective allows"
@@ -48,6 +52,19 @@
     NOT_FINISHED = "not over in these lines"
 
 
+# Cause of a delay by the cause of the stop that began it. What was cancelled is
+# explained by the end of its job.
+CAUSES_OF_STOPS = {
+    StopCause.PREEMPTED_FOR_GUARANTEED: Cause.PREEMPTED,
+    StopCause.PREEMPTED_FOR_URGENT: Cause.PREEMPTED,
+    StopCause.GANG_MEMBER_FAILED: Cause.RUN_FAILED,
+    StopCause.WORKER_LEAVING: Cause.WORKER_LEFT,
+    StopCause.WORKER_HANGS: Cause.UNHEALTHY_WORKER,
+    StopCause.START_NOT_CONFIRMED: Cause.ORDER_NOT_DONE,
+    StopCause.SUPERSEDED: Cause.SUPERSEDED,
+}
+
+
 class Explanation(NamedTuple):
     """The lines relevant to one request, in order, and the cause of its outcome.
 
@@ -290,6 +307,8 @@
                 Cause.ORDER_NOT_DONE,
                 f"{fields.get('worker')}: {fields.get('reason')}",
             )
+        if line.message == "run stopped" and fields.get("cause") in CAUSES_OF_STOPS:
+            return CAUSES_OF_STOPS[fields["cause"]], _describe_stop(fields)
     outage_ms = _log_outage_ms(interval_lines, from_ms, to_ms)
     if outage_ms * 2 >= to_ms - from_ms:
         return Cause.LOG_OUTAGE, f"{outage_ms:.0f} ms"
@@ -298,3 +317,12 @@
         epoch = role_lines[-1].fields.get("epoch")
         return Cause.TAKEOVER, f"epoch {epoch}"
     return Cause.WAITED_FOR_CAPACITY, ""
+
+
+def _describe_stop(fields):
+    """Return what was stopped and lost, from the fields of a `run stopped` line."""
+    saved = "with" if fields.get("has_checkpoint") else "without"
+    return (
+        f"{fields['cause']}, at {fields.get('percent')}% after"
+        f" {fields.get('ran_ms')} ms, {saved} a checkpoint"
+    )
--- a/knapweedshed/decisions/found_runs.py
+++ b/knapweedshed/decisions/found_runs.py
@@ -1,5 +1,12 @@
 """Runs that workers list and that no launch record names."""
 
+from knapweedshed.decisions.tracked_workers import (
+    ORDER_IN_FLIGHT,
+    AssignedRun,
+    RunPhase,
+)
+from knapweedshed.models.work import Resources
+
 
 class FoundRuns:
     """The runs found without a record, until they have certainly ended.
@@ -29,3 +36,20 @@
             if worker_id in workers and (task, run) in workers[worker_id].assigned_runs
         }
         return {task for _, task, _ in self._runs}
+
+
+def stopping_run(listed, ledger, now_ms):
+    """Return the `AssignedRun` of a `TaskRun` that a worker lists and has to stop."""
+    progress = ledger.jobs.get(listed.task.job_id)
+    need = Resources()
+    if progress is not None and listed.task.step < len(progress.job.steps):
+        need = progress.job.steps[listed.task.step].need
+    return AssignedRun(
+        listed.task,
+        listed.run,
+        need,
+        RunPhase.STOPPING,
+        ORDER_IN_FLIGHT,
+        now_ms,
+        ordered_ms=now_ms,
+    )
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -1,5 +1,6 @@
 """Actions that the dispatcher returns: orders to workers, log records and events."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from knapweedshed.models.work import EndKind, Task, TaskEnd, Unit
@@ -60,6 +61,36 @@
     worker_ids: tuple[str, ...] = ()
 
 
+class StopCause(StrEnum):
+    """Why a run was ordered to stop; the values are log fields and metric names."""
+
+    PREEMPTED_FOR_GUARANTEED = "preempted for guaranteed work"
+    PREEMPTED_FOR_URGENT = "preempted for urgent work"
+    GANG_MEMBER_FAILED = "gang member failed"
+    WORKER_LEAVING = "worker leaving"
+    WORKER_HANGS = "worker hangs"
+    CANCELLED = "cancelled"
+    START_NOT_CONFIRMED = "start not confirmed"
+    SUPERSEDED = "superseded"
+
+
+class RunStopped(NamedTuple):
+    """A run was ordered to stop; all tasks of a gang are stopped together.
+
+    `percent` is the lowest progress that its workers reported, `ran_ms` the time since
+    its start was recorded, or since a scheduler took it over. `has_checkpoint` tells
+    whether it has saved a state to resume from.
+    """
+
+    unit: Unit
+    run: int
+    cause: StopCause
+    percent: float
+    ran_ms: int
+    has_checkpoint: bool
+    worker_ids: tuple[str, ...]
+
+
 class RunLost(NamedTuple):
     """A run failed, or its lease lapsed."""
 
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -11,6 +11,7 @@
     RecordLaunches,
     RecordTaskEnds,
     RunLost,
+    RunStopped,
     StartRun,
     WithdrawStarts,
     WorkerHung,
@@ -38,6 +39,7 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
+EVENTS = (Preempted, RunLost, RunStopped, WorkerHung, WithdrawStarts)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
@@ -207,7 +209,7 @@
                 self.apply_actions(
                     self.dispatcher.handle_changed_jobs(changed, self.now_ms)
                 )
-            elif isinstance(action, (Preempted, RunLost, WorkerHung, WithdrawStarts)):
+            elif isinstance(action, EVENTS):
                 self.records.append(action)
             else:
                 self._send_order(action)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -157,6 +157,26 @@
         self.assertEqual(explanation.delays_ms, {Cause.PREEMPTED: 4_990})
         self.assertIn(OTHER_JOB_ID, explanation.detail)
 
+    def test_stop_with_its_cause_and_what_it_lost(self):
+        lines = (
+            accepted(0),
+            launch(10),
+            log_line(
+                2_000,
+                "run stopped",
+                job=JOB_ID,
+                cause="worker leaving",
+                percent=40.0,
+                ran_ms=1_990,
+                has_checkpoint=True,
+            ),
+            launch(5_000, run=2),
+            job_over(9_000),
+        )
+        explanation = explain(JOB_ID, lines)
+        self.assertEqual(explanation.cause, Cause.WORKER_LEFT)
+        self.assertIn("40.0% after 1990 ms, with a checkpoint", explanation.detail)
+
     def test_one_failed_run_does_not_make_its_worker_unhealthy(self):
         failed = log_line(
             900, "run ended", job=JOB_ID, worker="w1", how="failed", run=1
