Weigh what stops lose, and keep headroom for waves of urgent work

A unit that was preempted before, or has less than a fifth of its work left, is stopped only for a guarantee, which the log line then says. Room of runs that are about to end counts like room that stops will free, so nothing is stopped for it. Before, a step with checkpoints was assumed to lose at most a second.

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -4,13 +4,14 @@
 
 from knapweedshed.decisions.units import critical_path_ms
 from knapweedshed.models.dispatch_actions import (
+    HeadroomChanged,
     Preempted,
     RunLost,
     RunStopped,
     WorkerHung,
 )
 
-EVENT_TYPES = (Preempted, RunLost, RunStopped, WorkerHung)
+EVENT_TYPES = (HeadroomChanged, Preempted, RunLost, RunStopped, WorkerHung)
 MAX_JOBS = 20  # ids in one line
 MAX_WORKERS = 20  # ids in one line
 
@@ -87,6 +88,7 @@
     def log_preemption(self, preempted: Preempted):
         """Log the preempted units, the job that needs their capacity, and lost work."""
         self._context.metrics.count("preempted", len(preempted.units))
+        self._context.metrics.count("preempted.again", len(preempted.again))
         self._logger.info(
             "preempted",
             extra={
@@ -94,6 +96,7 @@
                 "units": [list(unit) for unit in preempted.units],
                 "guaranteed": preempted.guaranteed,
                 "lost_core_s": round(preempted.lost_core_s),
+                "again": [list(unit) for unit in preempted.again],
             },
         )
 
@@ -115,6 +118,24 @@
             },
         )
 
+    @log_event.register
+    def log_headroom(self, changed: HeadroomChanged):
+        """Log how much is kept for urgent work, and what that follows from."""
+        self._context.metrics.gauge("headroom.workers", changed.worker_count)
+        self._logger.info(
+            "headroom changed",
+            extra={
+                "service": changed.service,
+                "kept_workers": changed.worker_count,
+                "target_cores": round(changed.target_cores),
+                "peak_cores": round(changed.peak_cores),
+                "used_cores": round(changed.used_cores),
+                "freed_cores": round(changed.freed_cores),
+                "max_cores": round(changed.max_cores),
+                "peak_age_ms": changed.peak_age_ms,
+            },
+        )
+
     @log_event.register
     def log_lost_run(self, lost: RunLost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -366,7 +366,7 @@
                 self._silence_observer.silent_data_centres,
             )
         )
-        actions = []
+        actions = list(plan.events)
         for preempted in plan.preempted:
             actions.append(preempted)
             self._preemption_claims.add(
--- a/knapweedshed/decisions/failed_searches.py
+++ b/knapweedshed/decisions/failed_searches.py
@@ -9,7 +9,8 @@
     `min_speed` is the lowest speed of a worker that is fast enough, or 0.0 if all are.
     `avoided` has the ids of the workers that the unit avoids now. `limited_step` has
     (job id, occurrence, step) if the step limits its tasks on one worker: the limit
-    counts the tasks of that step alone.
+    counts the tasks of that step alone. `excludes_kept` means that the unit may not use
+    the workers kept for urgent work.
     """
 
     service: str
@@ -19,6 +20,7 @@
     min_speed: float
     avoided: frozenset
     limited_step: tuple
+    excludes_kept: bool = False
 
 
 class FailedSearches:
--- a/knapweedshed/decisions/free_capacity.py
+++ b/knapweedshed/decisions/free_capacity.py
@@ -29,6 +29,20 @@
     speed: float
 
 
+class WorkerRoom(NamedTuple):
+    """A worker's capacity and what is free of it once all stops have ended.
+
+    Cores are priced, with accelerators.
+    """
+
+    worker_id: str
+    rack: str
+    speed: float
+    capacity: Resources
+    total_cores: float
+    free_cores: float
+
+
 class FreeCapacity:
     """Capacity that is free now, and once all stops under way have ended."""
 
@@ -63,12 +77,37 @@
         self._no_room_now = FailedSearches()
         self._no_room_after_stops = FailedSearches()
         self._version = 0
+        self._kept_rooms = {}
 
     @property
     def version(self):
         """Return a number that rises with each change of the capacity."""
         return self._version
 
+    def keep_rooms(self, kept_rooms):
+        """Keep workers free of work that a `KeptRoom` excludes; the keys are services.
+
+        Must be called before anything is placed.
+        """
+        self._kept_rooms = {
+            service: kept for service, kept in kept_rooms.items() if kept.worker_ids
+        }
+
+    def workers_of(self, service):
+        """Return the `WorkerRoom`s of a service."""
+        return [
+            WorkerRoom(
+                traits.worker_id,
+                traits.rack,
+                traits.speed,
+                self._workers[traits.worker_id].entry.capacity,
+                priced_cores(self._workers[traits.worker_id].entry.capacity),
+                priced_cores(self._free_after_stops[traits.worker_id]),
+            )
+            for traits in self._traits
+            if traits.service == service
+        ]
+
     def search_key(self, waiting, multi_rack, min_speed=0.0):
         """Return the `SearchKey` of a unit; units of equal keys find the same room."""
         step = waiting.step
@@ -87,6 +126,7 @@
             self._lowest_speed_from(min_speed),
             avoided or frozenset(),
             tuple(waiting.units[0][:3]) if step.most_per_worker else (),
+            bool(self._excluded_workers(waiting)),
         )
 
     def allocate(self, waiting, multi_rack, min_speed=0.0):
@@ -206,6 +246,11 @@
                 return False
         return True
 
+    def _excluded_workers(self, waiting):
+        """Return the ids of the workers kept for others than this unit."""
+        kept = self._kept_rooms.get(waiting.service)
+        return kept.worker_ids if kept and kept.excludes(waiting) else ()
+
     def _lowest_speed_from(self, min_speed):
         """Return the lowest speed of a worker that reaches `min_speed`.
 
@@ -221,7 +266,7 @@
 
         Returns () if a search has failed already that was no more demanding.
         """
-        any_task = (waiting.service, waiting.step.need)
+        any_task = (waiting.service, waiting.step.need, key.excludes_kept)
         if failed_searches.has(any_task) or failed_searches.has(key):
             return ()
         if key.min_speed and failed_searches.has(key._replace(min_speed=0.0)):
@@ -240,6 +285,7 @@
         need = waiting.step.need
         avoided = self._avoided_workers.get(waiting.units[0], {})
         resident_tasks = self._resident_tasks_of(waiting)
+        excluded = self._excluded_workers(waiting)
         workers = []
         for traits in self._traits:
             if traits.service != waiting.service or traits.speed < min_speed:
@@ -249,6 +295,8 @@
                 continue
             if avoided and avoided.get(traits.worker_id, 0) > self._now_ms:
                 continue
+            if traits.worker_id in excluded:
+                continue
             usable = free if free is limit else elementwise_min(free, limit)
             resident = resident_tasks.get(traits.worker_id, 0)
             workers.append(
--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -5,20 +5,19 @@
 
 from knapweedshed.decisions.failed_searches import FailedSearches
 from knapweedshed.decisions.free_capacity import FreeCapacity, RackCapacities
-from knapweedshed.decisions.preemption import PreemptionCandidate, choose_victims
+from knapweedshed.decisions.overload.headroom import create_headroom
+from knapweedshed.decisions.overload.stop_costs import create_stop_rules
+from knapweedshed.decisions.preemption import choose_victims
 from knapweedshed.decisions.unit_runs import DEFAULT_TIME_LIMITS
 from knapweedshed.decisions.waiting import (
     URGENT_PRIORITY,
     collect_waiting_steps,
     find_borrowing_units,
 )
-from knapweedshed.decisions.work_order import core_seconds
 from knapweedshed.models.dispatch_actions import Preempted
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.work import GANG_INDEX
 
-MS_PER_SECOND = 1_000
-
 # Preemption may lose this share of the work of the unit that it lets start.
 MAX_LOSS_RATIO_ON_TIME = 0.5
 MAX_LOSS_RATIO_LATE = 0.1  # late work earns a fifth of the credit of work on time
@@ -39,11 +38,13 @@
 class UnitPlan(NamedTuple):
     """Result of a planning pass.
 
-    `starts` has (unit, worker ids of its tasks); `preempted` has `Preempted` entries.
+    `starts` has (unit, worker ids of its tasks); `preempted` has `Preempted` entries;
+    `events` has what else is to be logged.
     """
 
     starts: tuple
     preempted: tuple
+    events: tuple = ()
 
 
 class UnitPlanningInput(NamedTuple):
@@ -78,8 +79,8 @@
         self, ordering_policy, limits=DEFAULT_TIME_LIMITS, policies=NO_OVERLOAD_POLICIES
     ):
         self._ordering_policy = ordering_policy
-        self._limits = limits
-        self._policies = policies
+        self._stop_rules = create_stop_rules(policies, limits)
+        self._headroom = create_headroom(policies)
         self._rack_capacities = RackCapacities()
 
     def update_workers(self, entries):
@@ -88,18 +89,27 @@
 
     def plan(self, planning_input):
         """Return a `UnitPlan` for a `UnitPlanningInput`."""
+        self._stop_rules.forget_ended_jobs(planning_input.ledger.open_jobs)
         return _PlanningPass(
-            planning_input, self._ordering_policy, self._rack_capacities
+            planning_input,
+            self._ordering_policy,
+            self._rack_capacities,
+            self._stop_rules,
+            self._headroom,
         ).plan()
 
 
 class _PlanningPass:
     """State of one planning pass."""
 
-    def __init__(self, planning_input, ordering_policy, rack_capacities):
+    def __init__(
+        self, planning_input, ordering_policy, rack_capacities, stop_rules, headroom
+    ):
         self._planning_input = planning_input
         self._ordering_policy = ordering_policy
         self._rack_capacities = rack_capacities
+        self._stop_rules = stop_rules
+        self._headroom = headroom
         self._capacity = FreeCapacity(
             planning_input.workers,
             planning_input.runs,
@@ -115,6 +125,7 @@
         self._no_victims = FailedSearches()
         self._candidates_by_priority = {}
         self._borrowers = None
+        self._counted_ends = False
 
     def plan(self):
         planning_input = self._planning_input
@@ -126,10 +137,16 @@
             planning_input.now_ms,
             planning_input.wall_ms,
         )
+        kept_rooms, events = self._headroom.update(
+            planning_input, waiting_steps, self._capacity
+        )
+        self._capacity.keep_rooms(kept_rooms)
         waiting_steps.sort(key=self._sort_key)
         for waiting in waiting_steps:
+            if not (self._counted_ends or self._is_overdue(waiting)):
+                self._count_expected_ends()
             self._place_step(waiting)
-        return UnitPlan(tuple(self._starts), tuple(self._preempted))
+        return UnitPlan(tuple(self._starts), tuple(self._preempted), events)
 
     def _sort_key(self, waiting):
         """Return a sort key: units that others were preempted for, then guaranteed.
@@ -139,14 +156,39 @@
         units that have waited for long go first of all.
         """
         planning_input = self._planning_input
-        waited_ms = planning_input.now_ms - waiting.arrival_ms
-        overdue = waiting.guaranteed and waited_ms > GUARANTEE_PATIENCE_MS
+        overdue = self._is_overdue(waiting)
         claimed = any(
             unit in planning_input.preemption_claims for unit in waiting.units
         )
         policy_key = self._ordering_policy.key(waiting, planning_input.now_ms)
         return (not overdue, not claimed, not waiting.guaranteed, policy_key)
 
+    def _is_overdue(self, waiting):
+        """Return whether a guaranteed unit has waited for long."""
+        waited_ms = self._planning_input.now_ms - waiting.arrival_ms
+        return waiting.guaranteed and waited_ms > GUARANTEE_PATIENCE_MS
+
+    def _count_expected_ends(self):
+        """Count what is about to end by itself as if it was being stopped.
+
+        Not for overdue guaranteed units, which precede all others: a guarantee doesn't
+        depend on a prediction.
+        """
+        self._counted_ends = True
+        planning_input = self._planning_input
+        ending = set(
+            self._stop_rules.units_about_to_end(
+                planning_input.runs,
+                planning_input.ledger,
+                planning_input.workers,
+                planning_input.now_ms,
+            )
+        )
+        ending -= self._preempted_units
+        if ending:
+            self._preempted_units |= ending
+            self._capacity.release_preempted(ending)
+
     def _place_step(self, waiting):
         """Place the units of a step; those that avoid workers one at a time."""
         unrestricted = waiting.units
@@ -324,14 +366,14 @@
         candidates = self._candidates_below(waiting.priority)
         if from_borrowers:
             candidates = candidates + self._borrowing_candidates()
-        victims = choose_victims(
-            waiting.step,
-            waiting.count,
-            self._capacity.workers_after_stops(waiting, min_speed),
-            candidates,
-            multi_rack,
-            max_cost,
-        )
+        workers = self._capacity.workers_after_stops(waiting, min_speed)
+        victims = None
+        for choice in _preferred_candidates(candidates, waiting.guaranteed):
+            victims = choose_victims(
+                waiting.step, waiting.count, workers, choice, multi_rack, max_cost
+            )
+            if victims:
+                break
         if not victims:
             self._no_victims.add(key)
         return victims
@@ -339,13 +381,18 @@
     def _preempt(self, waiting, victims, multi_rack, min_speed=0.0):
         """Preempt units, and reserve the capacity that this frees."""
         units = tuple(victim.unit for victim in victims)
-        lost_core_s = sum(victim.cost for victim in victims)
+        lost_core_s, again = self._stop_rules.record_stops(victims)
         self._preempted_units.update(units)
         self._capacity.release_preempted(units)
         worker_ids = self._capacity.reserve(waiting, multi_rack, min_speed)
         self._preempted.append(
             Preempted(
-                units, waiting.units[0], waiting.guaranteed, lost_core_s, worker_ids
+                units,
+                waiting.units[0],
+                waiting.guaranteed,
+                lost_core_s,
+                worker_ids,
+                again,
             )
         )
 
@@ -379,27 +426,21 @@
         return self._not_preempted(self._borrowers)
 
     def _candidates(self, units):
-        """Return a `PreemptionCandidate` for each of the units that has started.
-
-        A step with checkpoints loses at most one second of work.
-        """
+        """Return a `PreemptionCandidate` for each of the units that has started."""
         candidates = []
         for unit in units:
             unit_run = self._planning_input.runs[unit]
             if unit_run.ending or not unit_run.launched:
                 continue
             step = self._planning_input.ledger.jobs[unit.job_id].job.steps[unit.step]
-            allocations = tuple(
-                (worker_id, step.need)
-                for worker_id in unit_run.workers_by_task.values()
-            )
-            ran_ms = self._planning_input.now_ms - unit_run.started_ms
-            if step.checkpoints:
-                ran_ms = min(ran_ms, MS_PER_SECOND)
-            lost_core_s = core_seconds(
-                step._replace(estimate_ms=ran_ms), len(allocations)
+            candidates.append(
+                self._stop_rules.candidate(
+                    unit_run,
+                    step,
+                    self._planning_input.workers,
+                    self._planning_input.now_ms,
+                )
             )
-            candidates.append(PreemptionCandidate(unit, allocations, lost_core_s))
         return candidates
 
     def _not_preempted(self, candidates):
@@ -410,6 +451,14 @@
         ]
 
 
+def _preferred_candidates(candidates, guaranteed):
+    """Return the lists of candidates to try in turn: without the spared ones first."""
+    worth_stopping = [candidate for candidate in candidates if not candidate.spared]
+    if guaranteed and len(worth_stopping) < len(candidates):
+        return worth_stopping, candidates
+    return (worth_stopping,)
+
+
 def max_preemption_cost(waiting, now_ms):
     """Return the core-seconds that preemption for this unit may lose.
 
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -14,12 +14,14 @@
     """A running unit that may be preempted.
 
     `allocations` has (worker id, resources) for each task; `cost` is the work
-    that a stop would lose, in core-seconds.
+    that a stop would lose, in core-seconds. A `spared` unit is only preempted if a
+    guarantee requires it.
     """
 
     unit: object
     allocations: tuple
     cost: float
+    spared: bool = False
 
 
 def choose_victims(
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -51,7 +51,8 @@
     """Units were preempted for another; `lost_core_s` is the work lost by it.
 
     `guaranteed` tells whether the preempting unit runs under a guarantee; `worker_ids`
-    has the worker of each of its tasks, once the stops have ended.
+    has the worker of each of its tasks, once the stops have ended. `again` has those of
+    the units that were preempted before, which only a guarantee requires.
     """
 
     units: tuple[Unit, ...]
@@ -59,6 +60,7 @@
     guaranteed: bool
     lost_core_s: float
     worker_ids: tuple[str, ...] = ()
+    again: tuple[Unit, ...] = ()
 
 
 class StopCause(StrEnum):
@@ -91,6 +93,25 @@
     worker_ids: tuple[str, ...]
 
 
+class HeadroomChanged(NamedTuple):
+    """The number of workers kept for urgent work in a service has changed.
+
+    `peak_cores` is the highest concurrent need of recent urgent work, seen
+    `peak_age_ms` ago; `used_cores` is what urgent work uses now and `freed_cores` what
+    ends by itself in time. `target_cores` follows from these, at most `max_cores`. All
+    cores are priced: an accelerator counts as 8.
+    """
+
+    service: str
+    worker_count: int
+    target_cores: float
+    peak_cores: float
+    used_cores: float
+    freed_cores: float
+    max_cores: float
+    peak_age_ms: int
+
+
 class RunLost(NamedTuple):
     """A run failed, or its lease lapsed."""
 
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -6,6 +6,7 @@
 from knapweedshed.decisions.work_order import create_ordering_policy
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
+    HeadroomChanged,
     OrderOutcome,
     Preempted,
     RecordLaunches,
@@ -16,6 +17,7 @@
     WithdrawStarts,
     WorkerHung,
 )
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -39,7 +41,14 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
-EVENTS = (Preempted, RunLost, RunStopped, WorkerHung, WithdrawStarts)
+EVENTS = (
+    HeadroomChanged,
+    Preempted,
+    RunLost,
+    RunStopped,
+    WorkerHung,
+    WithdrawStarts,
+)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
@@ -89,8 +98,16 @@
     time. `now_ms` serves as both the monotonic and the wall clock.
     """
 
-    def __init__(self, workers=2, entries=None):
+    def __init__(
+        self,
+        workers=2,
+        entries=None,
+        policies=NO_OVERLOAD_POLICIES,
+        limits=TIME_LIMITS,
+    ):
         self.now_ms = 1_000
+        self.policies = policies
+        self.limits = limits
         self.ledger = WorkLedger()
         self.entries = list(entries or (make_entry(n) for n in range(workers)))
         self.offset = 0
@@ -126,7 +143,11 @@
         self.epoch += 1
         self.append_record(ActingClaimed(self.epoch, f"host{self.epoch}"))
         self.dispatcher = Dispatcher(
-            self.ledger, TIME_LIMITS, create_ordering_policy(), self.now_ms
+            self.ledger,
+            self.limits,
+            create_ordering_policy(),
+            self.now_ms,
+            self.policies,
         )
         configured = ConfiguredOrganisation("sahel", ("key",), guaranteed)
         self.dispatcher.configure(ServiceConfiguration(1, (), (configured,)))
--- a/tests/test_work_dispatch.py
+++ b/tests/test_work_dispatch.py
@@ -155,7 +155,9 @@
         following = harness.dispatcher.handle_order_outcome(
             order, refused, harness.now_ms
         )
-        self.assertEqual([type(item).__name__ for item in following], ["StopRun", "RunStopped"])
+        self.assertEqual(
+            [type(item).__name__ for item in following], ["StopRun", "RunStopped"]
+        )
         harness.plan()
         self.assertEqual(harness.started, [])
 
