--- a/scripts/work_day.py
+++ b/scripts/work_day.py
@@ -114,13 +114,15 @@
 class Day(NamedTuple):
     """All inputs of one emulated day.
 
-    `guarantees` are accelerators by organisation.
+    `guarantees` are accelerators by organisation. `save_ms` is the work between two
+    checkpoints of a run, 0 if each stop saves.
     """
 
     length_ms: int
     workers: tuple[EmulatedWorker, ...]
     arrivals: tuple[Arrival, ...]
     guarantees: dict
+    save_ms: int = 0
 
 
 def load_scenario(name):
@@ -152,7 +154,13 @@
             number = len(arrivals)
             arrivals.append(_draw_job(kind, number, at_ms, guarantees, rng))
     arrivals.sort(key=lambda arrival: arrival.at_ms)
-    return Day(scenario["length_ms"], workers, tuple(arrivals), guarantees)
+    return Day(
+        scenario["length_ms"],
+        workers,
+        tuple(arrivals),
+        guarantees,
+        scenario.get("save_ms", 0),
+    )
 
 
 def _draw_workers(scenario, rng, scale):
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 import time
+from collections import Counter
 from typing import NamedTuple
 
 from knapweedshed.decisions.dispatch import Dispatcher
@@ -23,9 +24,11 @@
     OrderOutcome,
     RecordLaunches,
     RecordTaskEnds,
+    RunStopped,
     StartRun,
     StopRun,
 )
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -64,7 +67,7 @@
     `violations` describes breaches of invariants: a task that runs twice at a time or
     again after its end was recorded, and workers over their capacity. `starved_jobs`
     counts open jobs without a run when the day ends. `plan_times_ms` are wall-clock
-    times of planning steps.
+    times of planning steps. `stops` counts ordered stops by cause, a gang once.
     """
 
     credit: float
@@ -76,6 +79,7 @@
     runs: int
     violations: tuple[str, ...] = ()
     starved_jobs: int = 0
+    stops: dict = {}
 
 
 class _Run:
@@ -97,7 +101,7 @@
 class Emulator:
     """Emulates workers, the log and one acting scheduler."""
 
-    def __init__(self, day, seed, policy="credit"):
+    def __init__(self, day, seed, policy="credit", overload=NO_OVERLOAD_POLICIES):
         self._day = day
         # Draws other numbers than the generator of the day, which has the same seed.
         self._rng = random.Random(seed * 7_919 + 1)
@@ -106,9 +110,13 @@
         self._sequence = itertools.count()
         self._ledger = WorkLedger()
         self._ledger.apply(0, ActingClaimed(1, "host"))
-        time_limits = TimeLimits()
+        time_limits = TimeLimits(
+            save_ms=day.save_ms or 1_000,
+            restore_ms=CHECKPOINT_RESTORE_MS,
+            stop_ms=STOP_DELAY_MS,
+        )
         self._dispatcher = Dispatcher(
-            self._ledger, time_limits, create_ordering_policy(policy), 0
+            self._ledger, time_limits, create_ordering_policy(policy), 0, overload
         )
         organisations = tuple(
             ConfiguredOrganisation(name, (name,), count)
@@ -128,6 +136,7 @@
         self._wasted_core_s = 0.0
         self._run_count = 0
         self._violations = []
+        self._stops = Counter()
 
     def run(self):
         """Process all events until the end of the day; return a `DayResult`."""
@@ -190,7 +199,9 @@
 
     def _perform(self, actions):
         for action in actions:
-            if isinstance(action, RecordLaunches):
+            if isinstance(action, RunStopped):
+                self._stops[str(action.cause)] += 1
+            elif isinstance(action, RecordLaunches):
                 self._schedule_after(
                     LOG_ROUND_TRIP_MS, self._confirm_launches, action.launches
                 )
@@ -320,17 +331,31 @@
 
     def _count_waste(self, run):
         step = self._arrivals[run.order.task.job_id].job.steps[run.order.task.step]
-        if run.started_ms >= 0 and not step.checkpoints:
-            cores = step.need.cpu_milli / 1_000
-            cores += step.need.accelerators * CORES_PER_ACCELERATOR
-            self._wasted_core_s += cores * (self._now_ms - run.started_ms) / 1_000
+        if run.started_ms < 0:
+            return
+        wasted_ms = self._now_ms - run.started_ms
+        if step.checkpoints:
+            if not self._day.save_ms:
+                return
+            pace = run.worker.speed / run.slowdown
+            interval_ms = self._day.save_ms / pace
+            wasted_ms = wasted_ms % interval_ms + CHECKPOINT_RESTORE_MS / pace
+        cores = step.need.cpu_milli / 1_000
+        cores += step.need.accelerators * CORES_PER_ACCELERATOR
+        self._wasted_core_s += cores * wasted_ms / 1_000
 
     def _saved_progress(self, run):
         step = self._arrivals[run.order.task.job_id].job.steps[run.order.task.step]
         if not step.checkpoints or run.started_ms < 0:
             return ""
         saved_share = float(run.order.saved or 0)
-        return str(saved_share + (1 - saved_share) * _progress(run, self._now_ms))
+        progress = _progress(run, self._now_ms)
+        if self._day.save_ms:
+            saves = run.work_ms / self._day.save_ms
+            progress = int(progress * saves) / saves
+        if not saved_share + progress:
+            return ""
+        return str(saved_share + (1 - saved_share) * progress)
 
     def _end_run(self, run, kind, saved=""):
         worker_id = run.order.worker_id
@@ -413,6 +438,7 @@
             self._run_count,
             tuple(self._violations),
             self._starved_job_count(),
+            dict(self._stops),
         )
 
     def _starved_job_count(self):
