--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -1,8 +1,28 @@
 """Log lines for the decisions of the acting scheduler, with their reasons."""
 
+from functools import singledispatchmethod
+
 from knapweedshed.codecs import json_text
 from knapweedshed.decisions.units import critical_path_ms
-
+from knapweedshed.models.dispatch_actions import (
+    HeadroomChanged,
+    Preempted,
+    RunLost,
+    RunStopped,
+    StartsGivenUp,
+    UnitMoved,
+    WorkerHung,
+)
+
+EVENT_TYPES = (
+    HeadroomChanged,
+    Preempted,
+    RunLost,
+    RunStopped,
+    StartsGivenUp,
+    UnitMoved,
+    WorkerHung,
+)
 MAX_JOBS = 20  # ids in one line
 MAX_WORKERS = 20  # ids in one line
 
@@ -85,9 +105,16 @@
             },
         )
 
-    def log_preemption(self, preempted):
+    @singledispatchmethod
+    def log_event(self, event):
+        """Log an event that the dispatcher has returned, one of `EVENT_TYPES`."""
+        raise TypeError(f"no log line for {type(event).__name__}")
+
+    @log_event.register
+    def log_preemption(self, preempted: Preempted):
         """Log the preempted units, the job that needs their capacity, and lost work."""
         self._context.metrics.count("preempted", len(preempted.units))
+        self._context.metrics.count("preempted.again", len(preempted.again))
         self._logger.info(
             "preempted",
             extra={
@@ -95,10 +122,12 @@
                 "units": [list(unit) for unit in preempted.units],
                 "guaranteed": preempted.guaranteed,
                 "lost_core_s": round(preempted.lost_core_s),
+                "again": [list(unit) for unit in preempted.again],
             },
         )
 
-    def log_starts_given_up(self, given_up):
+    @log_event.register
+    def log_starts_given_up(self, given_up: StartsGivenUp):
         """Log the launches and the waiting starts that an evacuation prevents."""
         self._context.metrics.count("evacuations.launches", len(given_up.units))
         self._logger.info(
@@ -110,7 +139,8 @@
             },
         )
 
-    def log_move(self, moved):
+    @log_event.register
+    def log_move(self, moved: UnitMoved):
         """Log a run that is stopped because a worker of it is leaving."""
         self._context.metrics.count("units.moved")
         self._logger.info(
@@ -127,7 +157,44 @@
             },
         )
 
-    def log_lost_run(self, lost):
+    @log_event.register
+    def log_stop(self, stopped: RunStopped):
+        """Log why a run was ordered to stop, and how far it had come."""
+        self._context.metrics.count(f"stops.{stopped.cause.name.lower()}")
+        self._logger.info(
+            "run stopped",
+            extra={
+                "job": stopped.unit.job_id,
+                "unit": list(stopped.unit[1:]),
+                "run": stopped.run,
+                "cause": str(stopped.cause),
+                "percent": stopped.percent,
+                "ran_ms": stopped.ran_ms,
+                "has_checkpoint": stopped.has_checkpoint,
+                "workers": list(stopped.worker_ids[:MAX_WORKERS]),
+            },
+        )
+
+    @log_event.register
+    def log_headroom(self, changed: HeadroomChanged):
+        """Log how much is kept for urgent work, and what that follows from."""
+        self._context.metrics.gauge("headroom.workers", changed.worker_count)
+        self._logger.info(
+            "headroom changed",
+            extra={
+                "service": changed.service,
+                "kept_workers": changed.worker_count,
+                "target_cores": round(changed.target_cores),
+                "peak_cores": round(changed.peak_cores),
+                "used_cores": round(changed.used_cores),
+                "freed_cores": round(changed.freed_cores),
+                "max_cores": round(changed.max_cores),
+                "peak_age_ms": changed.peak_age_ms,
+            },
+        )
+
+    @log_event.register
+    def log_lost_run(self, lost: RunLost):
         """Log a run that failed or whose lease lapsed at an unreachable worker."""
         self._context.metrics.count(f"runs.{lost.kind}")
         self._logger.info(
@@ -141,7 +208,8 @@
             },
         )
 
-    def log_worker_hang(self, hang):
+    @log_event.register
+    def log_worker_hang(self, hang: WorkerHung):
         """Log a worker that gets no more work because its runs make no progress."""
         self._context.metrics.count("workers.hang")
         self._logger.warning(
--- a/knapweedshed/models/dispatch_actions.py
+++ b/knapweedshed/models/dispatch_actions.py
@@ -1,5 +1,6 @@
 """Actions that the dispatcher returns: orders to workers, log records and events."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from knapweedshed.models.work import EndKind, Task, TaskEnd, Unit
@@ -61,7 +62,8 @@
     """Units were preempted for another; `lost_core_s` is the work lost by it.
 
     `guaranteed` tells whether the preempting unit runs under a guarantee; `worker_ids`
-    has the worker of each of its tasks, once the stops have ended.
+    has the worker of each of its tasks, once the stops have ended. `again` has those of
+    the units that were preempted before, which only a guarantee requires.
     """
 
     units: tuple[Unit, ...]
@@ -69,6 +71,56 @@
     guaranteed: bool
     lost_core_s: float
     worker_ids: tuple[str, ...] = ()
+    again: tuple[Unit, ...] = ()
+
+
+class StopCause(StrEnum):
+    """Why a run was ordered to stop; the values are log fields and metric names."""
+
+    PREEMPTED_FOR_GUARANTEED = "preempted for guaranteed work"
+    PREEMPTED_FOR_URGENT = "preempted for urgent work"
+    GANG_MEMBER_FAILED = "gang member failed"
+    WORKER_LEAVING = "worker leaving"
+    WORKER_HANGS = "worker hangs"
+    CANCELLED = "cancelled"
+    START_NOT_CONFIRMED = "start not confirmed"
+    SUPERSEDED = "superseded"
+
+
+class RunStopped(NamedTuple):
+    """A run was ordered to stop; all tasks of a gang are stopped together.
+
+    `percent` is the lowest progress that its workers reported, `ran_ms` the time since
+    its start was recorded, or since a scheduler took it over. `has_checkpoint` tells
+    whether it has saved a state to resume from.
+    """
+
+    unit: Unit
+    run: int
+    cause: StopCause
+    percent: float
+    ran_ms: int
+    has_checkpoint: bool
+    worker_ids: tuple[str, ...]
+
+
+class HeadroomChanged(NamedTuple):
+    """The number of workers kept for urgent work in a service has changed.
+
+    `peak_cores` is the highest concurrent need of recent urgent work, seen
+    `peak_age_ms` ago; `used_cores` is what urgent work uses now and `freed_cores` what
+    ends by itself in time. `target_cores` follows from these, at most `max_cores`. All
+    cores are priced: an accelerator counts as 8.
+    """
+
+    service: str
+    worker_count: int
+    target_cores: float
+    peak_cores: float
+    used_cores: float
+    freed_cores: float
+    max_cores: float
+    peak_age_ms: int
 
 
 class RunLost(NamedTuple):
