Reject submissions that can't end in time while capacity is short

A job that can't end within three times its objective is worth nothing to its caller, but was accepted, took the room of jobs that could end in time, and its caller learned of it only by waiting. With the policy admission_control, off by default, the acting host publishes a load figure in the work stream while a service is short (LoadReported), and the hosts that callers reach reject such a job by it: code 209, status 429, and Retry-After. A job that may be in the log is never rejected, and a rejection needs a read of the log that began after the call.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -15,6 +15,7 @@
     RecordsRead,
     Tick,
 )
+from knapweedshed.controllers.submission_admission import create_submission_admission
 from knapweedshed.controllers.work_messages import (
     CallAdmitted,
     CallAnswered,
@@ -34,10 +35,12 @@
     retry_after_ms,
 )
 from knapweedshed.decisions.log_reachability import LogReachability
+from knapweedshed.decisions.overload.admission import ADMITTED
 from knapweedshed.decisions.record_parts import max_job_record_bytes
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.filters.work_calls import refused_reply
 from knapweedshed.models.calls import CallKind, LogState, WorkReply
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.work import WorkJob
 from knapweedshed.models.work_records import WORK_STREAM, WorkAccepted, WorkCancelled
 from knapweedshed.results import ResultCode
@@ -76,12 +79,22 @@
 class JobsController(Controller):
     """Accepts, cancels and reports jobs; the log is the only source of truth."""
 
-    def __init__(self, context, appender, max_record_bytes):
+    def __init__(
+        self,
+        context,
+        appender,
+        max_record_bytes,
+        overload_policies=NO_OVERLOAD_POLICIES,
+    ):
         super().__init__(context)
         self._max_job_bytes = max_job_record_bytes(max_record_bytes)
         self._appender = appender
         self._calls = None
         self._ledger = WorkLedger()
+        self._admission = create_submission_admission(
+            overload_policies, context, self._ledger
+        )
+        self._last_read_requested_ms = None
         self._pending_appends = {}
         self._submit_record_ids = {}
         self._caught_up = False
@@ -103,6 +116,7 @@
     def mark_configured(self, message: ServiceConfigurationUpdated):
         """Note that a configuration has arrived; a host isn't ready without one."""
         self._configured = True
+        self._admission.configure(message.configuration)
 
     @receive.register
     def apply_records(self, message: RecordsRead):
@@ -114,12 +128,16 @@
             pending = self._pending_appends.get(applied.record_id)
             if pending is not None:
                 self._finish_append(pending, self._read_back_reply(pending))
+        self._admission.note_read(self._last_read_requested_ms)
         if message.records:
             self._last_offset = message.records[-1].offset
         if not message.caught_up:
             return
         self._last_read_ms = now_ms
+        self._last_read_requested_ms = message.requested_ms
         self._serve_deferred_calls(message.requested_ms)
+        if message.pause_ms and self._has_deferred_submissions():
+            tell(self._log_tail, ReadNow())
         if not self._caught_up:
             self._caught_up = True
             self._context.logger.info(
@@ -142,15 +160,17 @@
         """
         call = message.call
         now_ms = self._context.clock.now_ms()
-        if now_ms < self._next_read_ms and self._depends_on_log(call):
+        if self._depends_on_log(call, now_ms):
             self._deferred_calls.append(DeferredCall(call, now_ms))
             tell(self._log_tail, ReadNow())
             return
         self._serve_call(call)
 
-    def _serve_call(self, call):
+    def _serve_call(self, call, may_reject=False):
+        if call.kind == CallKind.SUBMIT:
+            self._submit_job(call, may_reject)
+            return
         serve = {
-            CallKind.SUBMIT: self._submit_job,
             CallKind.STATE: self._report_state,
             CallKind.CANCEL: self._cancel_job,
             CallKind.COUNT: self._report_waiting_count,
@@ -202,7 +222,7 @@
     def tick(self, message: Tick):
         """Retry appends of unknown outcome until their callers' deadlines."""
         now_ms = self._context.clock.now_ms()
-        self._serve_deferred_calls(now_ms - LOG_READ_TIMEOUT_MS)
+        self._serve_deferred_calls(now_ms - LOG_READ_TIMEOUT_MS, may_reject=False)
         for record_id, pending in list(self._pending_appends.items()):
             if now_ms >= pending.state.deadline_ms:
                 self._finish_with_unknown_outcome(pending)
@@ -243,23 +263,45 @@
             "caught_up": self._caught_up,
         }
 
-    def _depends_on_log(self, call):
-        """Return whether records that aren't read yet may change the answer."""
-        if call.kind != CallKind.STATE:
+    def _depends_on_log(self, call, now_ms):
+        """Return whether records that aren't read yet may change the answer.
+
+        A job that another host has just accepted must not be rejected, so a rejection
+        needs a read that began after the call, also if the log reader doesn't pause.
+        """
+        if call.kind == CallKind.SUBMIT:
+            return self._would_reject(call) and not self._may_be_written(call.job_id)
+        if call.kind != CallKind.STATE or now_ms >= self._next_read_ms:
             return False
         progress = self._ledger.jobs.get(call.job_id)
         return progress is None or progress.active
 
-    def _serve_deferred_calls(self, requested_ms):
+    def _serve_deferred_calls(self, requested_ms, may_reject=True):
         """Serve the calls that were deferred at `requested_ms` or earlier."""
         deferred_calls, self._deferred_calls = self._deferred_calls, []
         for item in deferred_calls:
             if item.deferred_at_ms <= requested_ms:
-                self._serve_call(item.call)
+                self._serve_call(item.call, may_reject)
             else:
                 self._deferred_calls.append(item)
 
-    def _submit_job(self, call):
+    def _has_deferred_submissions(self):
+        return any(item.call.kind == CallKind.SUBMIT for item in self._deferred_calls)
+
+    def _may_be_written(self, job_id):
+        """Return whether a record of the job is, or may be, in the log."""
+        now_ms = self._context.clock.now_ms()
+        return (
+            job_id in self._ledger.jobs
+            or any(item.job_id == job_id for item in self._pending_appends.values())
+            or self._unknown_outcomes.holds(job_id, now_ms)
+        )
+
+    def _would_reject(self, call):
+        job = _create_job(call, self._context.clock.wall_ms())
+        return not self._admission.decide(job).admitted
+
+    def _submit_job(self, call, may_reject):
         if call.job_id in self._ledger.jobs:
             self._send_answer(call, WorkReply())
             return
@@ -270,8 +312,13 @@
         if self._is_log_silent():
             self._send_answer(call, self._not_appended_reply(call.job_id))
             return
-        record = WorkAccepted(_create_job(call, self._context.clock.wall_ms()))
-        text = json_text.dumps(record)
+        job = _create_job(call, self._context.clock.wall_ms())
+        if may_reject and not self._may_be_written(call.job_id):
+            verdict = self._admission.decide(job)
+            if not verdict.admitted:
+                self._reject_job(call, job, verdict)
+                return
+        text = json_text.dumps(WorkAccepted(job))
         if len(text) > self._max_job_bytes:
             reason = (
                 f"the job's record has {len(text)} bytes, {self._max_job_bytes} at"
@@ -279,8 +326,17 @@
             )
             self._send_answer(call, refused_reply(ResultCode.BODY_TOO_LARGE, reason))
             return
+        self._admission.note_verdict(job, ADMITTED)
         self._submit_record_ids[call.job_id] = self._append_record(call, text)
 
+    def _reject_job(self, call, job, verdict):
+        self._admission.note_verdict(job, verdict)
+        reason = "the job can't end in time now; submit it again later"
+        self._send_answer(
+            call,
+            refused_reply(ResultCode.CAPACITY_SHORT, reason, verdict.retry_after_ms),
+        )
+
     def _cancel_job(self, call):
         """Append a cancel, also of a job that isn't known here.
 
--- /dev/null
+++ b/knapweedshed/controllers/load_reports.py
@@ -0,0 +1,75 @@
+"""Load figures that the acting host publishes in the work stream."""
+
+from knapweedshed.decisions.overload.load_figure import (
+    FinishRates,
+    ReportSchedule,
+    measure_loads,
+)
+from knapweedshed.decisions.overload.shortage import (
+    find_shortages,
+    running_work,
+    service_capacities,
+)
+from knapweedshed.decisions.units import ready_units
+from knapweedshed.decisions.waiting import collect_waiting_steps
+from knapweedshed.decisions.work_order import core_seconds
+from knapweedshed.models.service_configuration import ServiceConfiguration
+from knapweedshed.models.work import EndKind
+from knapweedshed.models.work_records import LoadReported
+
+MAX_LOGGED_LOADS_COUNT = 20
+
+
+class LoadReports:
+    """Measures the load and decides when to publish it; for `TermRecords` only."""
+
+    def __init__(self, context, ledger):
+        self._context = context
+        self._ledger = ledger
+        self._rates = FinishRates(context.clock.now_ms())
+        self._schedule = ReportSchedule()
+
+    def note_ends(self, ends):
+        """Take the ends of runs that this host has recorded."""
+        now_ms = self._context.clock.now_ms()
+        for end in ends:
+            progress = self._ledger.jobs.get(end.task.job_id)
+            if end.kind != EndKind.DONE or progress is None:
+                continue
+            job = progress.job
+            core_s = core_seconds(job.steps[end.task.step], 1)
+            self._rates.note_end(job.service, job.priority, core_s, now_ms)
+
+    def due(self, dispatcher, now_ms):
+        """Return the `LoadReported` to append now, as a list of one or none."""
+        if not self._schedule.is_open(now_ms):
+            return []
+        loads = self._schedule.take_due(self._measure(dispatcher, now_ms), now_ms)
+        if loads is None:
+            return []
+        self._context.metrics.count("load.reports")
+        self._context.logger.info(
+            "load reported",
+            extra={
+                "epoch": self._ledger.epoch,
+                "loads": [list(load) for load in loads[:MAX_LOGGED_LOADS_COUNT]],
+            },
+        )
+        return [LoadReported(self._ledger.epoch, loads)]
+
+    def _measure(self, dispatcher, now_ms):
+        """Return the loads of the services that are short."""
+        ledger, runs = self._ledger, dispatcher.runs
+        wall_ms = self._context.clock.wall_ms()
+        units = [unit for unit in ready_units(ledger, wall_ms) if unit not in runs]
+        waiting_steps = collect_waiting_steps(
+            units, ledger, runs, ServiceConfiguration(), now_ms, wall_ms
+        )
+        shortages = find_shortages(
+            waiting_steps,
+            running_work(ledger, runs, now_ms),
+            service_capacities(dispatcher.workers, now_ms),
+            now_ms,
+        )
+        rates = self._rates.per_second(now_ms)
+        return measure_loads(waiting_steps, rates, shortages, now_ms)
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -136,7 +136,9 @@
         self._launches_paused_until_ms = 0
         self._resign_reply = None
         self._term_epoch = 0
-        self._term_records = TermRecords(context.clock, self._ledger, settings)
+        self._term_records = TermRecords(
+            context, self._ledger, settings, overload_policies
+        )
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
         self._planning_scheduled = False
@@ -378,6 +380,7 @@
             return
         if isinstance(record, TasksEnded):
             self._dispatcher.confirm_ends(record.ends)
+            self._term_records.note_ends(record.ends)
             self._worker_holds.resume()
         elif isinstance(record, RunsLaunched):
             now_ms = self._now_ms()
--- a/knapweedshed/controllers/term_records.py
+++ b/knapweedshed/controllers/term_records.py
@@ -1,5 +1,6 @@
 """Records that the acting host writes to the work stream beside its decisions."""
 
+from knapweedshed.controllers.load_reports import LoadReports
 from knapweedshed.decisions.snapshots import SnapshotSchedule
 from knapweedshed.models.work import WorkState
 from knapweedshed.models.work_records import SpeedsLearned, WorkCancelled
@@ -8,11 +9,14 @@
 
 
 class TermRecords:
-    """Snapshots, learned speeds and repeated ends; for the scheduling controller."""
+    """Snapshots, speeds, loads and repeated ends; for the scheduling controller."""
 
-    def __init__(self, clock, ledger, settings):
-        self._clock = clock
+    def __init__(self, context, ledger, settings, overload_policies):
+        self._context = context
+        self._clock = context.clock
         self._ledger = ledger
+        self._reports_load = overload_policies.admission_control
+        self._load_reports = None
         self._snapshot_schedule = SnapshotSchedule(settings.log_keep_ms)
         self._ends_recorded_again = set()
         self._speeds_recorded_ms = 0
@@ -20,9 +24,16 @@
     def begin_term(self):
         """Forget what an earlier term has recorded again."""
         self._ends_recorded_again = set()
+        if self._reports_load:
+            self._load_reports = LoadReports(self._context, self._ledger)
+
+    def note_ends(self, ends):
+        """Take the ends of runs that were read back from the log."""
+        if self._load_reports is not None:
+            self._load_reports.note_ends(ends)
 
     def due(self, dispatcher, now_ms):
-        """Return the snapshots and the learned speeds to append now."""
+        """Return the snapshots, learned speeds and loads to append now."""
         epoch = self._ledger.epoch
         wall_ms = self._clock.wall_ms()
         records = [
@@ -34,6 +45,8 @@
             speeds = dispatcher.take_speed_report(now_ms)
             if speeds:
                 records.append(SpeedsLearned(epoch, speeds))
+        if self._load_reports is not None:
+            records.extend(self._load_reports.due(dispatcher, now_ms))
         return records
 
     def ends_again(self, job_ids):
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -3,6 +3,7 @@
 Every reader of the stream, entry or scheduler, derives the same state.
 """
 
+from knapweedshed.decisions.overload.load_figure import check_loads
 from knapweedshed.decisions.overload.queue_sizes import QueueSizes
 from knapweedshed.models.work import (
     GANG_INDEX,
@@ -16,6 +17,7 @@
     ActingBeat,
     ActingClaimed,
     ActingResigned,
+    LoadReported,
     RunsLaunched,
     SpeedsLearned,
     TasksEnded,
@@ -167,6 +169,7 @@
         self._claimed_offset = -1
         self._speeds = {}
         self._queue_sizes = QueueSizes()
+        self._load_report = None
 
     @property
     def jobs(self):
@@ -188,6 +191,11 @@
         """Return the `QueueSizes` of the recent jobs."""
         return self._queue_sizes
 
+    @property
+    def load_report(self):
+        """Return the latest `LoadReported` of the epoch in force, or None."""
+        return self._load_report
+
     @property
     def epoch(self):
         """Return the epoch of the last valid claim; 0 before the first."""
@@ -245,6 +253,10 @@
             self._apply_heartbeat(offset, record)
         elif isinstance(record, SpeedsLearned):
             self._apply_speeds(record)
+        elif isinstance(record, LoadReported):
+            check_loads(record.loads)
+            if record.epoch == self._epoch:
+                self._load_report = record
         elif isinstance(record, ActingResigned) and record.epoch == self._epoch:
             self._acting_host = ""
         return ()
@@ -311,6 +323,7 @@
         if claim.epoch == self._epoch + 1:
             self._epoch = claim.epoch
             self._acting_host = claim.host
+            self._load_report = None
             self._claimed_offset = offset
 
     def _apply_ends(self, record):
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -84,6 +84,28 @@
     speeds: tuple[tuple[str, int, int], ...]
 
 
+class PriorityLoad(NamedTuple):
+    """The load of one service by work of one priority.
+
+    `waiting_core_s` is the work that waits and can still end within three times its
+    objective, `finished_core_s` what was finished per second recently, in core-seconds.
+    A job submitted now would start in `start_in_ms`; -1 if that isn't known.
+    """
+
+    service: str
+    priority: int
+    waiting_core_s: float
+    finished_core_s: float
+    start_in_ms: int
+
+
+class LoadReported(NamedTuple):
+    """Load of the services that are short of capacity; none are without any `loads`."""
+
+    epoch: int
+    loads: tuple[PriorityLoad, ...] = ()
+
+
 class ActingResigned(NamedTuple):
     """The acting scheduler of `epoch` sends no more orders."""
 
@@ -100,5 +122,7 @@
     ActingBeat,
     ActingResigned,
     SpeedsLearned,
+    PriorityLoad,
+    LoadReported,
     WorkSnapshot,
 )
--- a/knapweedshed/platform/callers.py
+++ b/knapweedshed/platform/callers.py
@@ -30,6 +30,7 @@
     ResultCode.NOT_FOUND: 410,
     ResultCode.OVERLOADED: 429,
     ResultCode.LIMIT_EXCEEDED: 429,
+    ResultCode.CAPACITY_SHORT: 429,
     ResultCode.OUTCOME_UNKNOWN: 504,
 }
 HTTP_UNAVAILABLE = 503
--- a/knapweedshed/programs/host.py
+++ b/knapweedshed/programs/host.py
@@ -75,7 +75,10 @@
             context, platform.work_log(), settings.log_append_bytes
         )
         self._jobs = JobsController.start(
-            context, self._appender, settings.log_record_bytes
+            context,
+            self._appender,
+            settings.log_record_bytes,
+            context.settings.overload_policies,
         )
         self._calls = CallsController.start(context, self._jobs)
         tell(self._jobs, UseCallsController(self._calls))
--- a/knapweedshed/results.py
+++ b/knapweedshed/results.py
@@ -32,6 +32,7 @@
     LEAVING = 206
     NO_RUNNER = 207
     NOT_READY = 208
+    CAPACITY_SHORT = 209
 
     FAILED = 300
     STOPPED = 301
--- a/tests/scheduling_harness.py
+++ b/tests/scheduling_harness.py
@@ -26,6 +26,7 @@
 from knapweedshed.links import worker_links
 from knapweedshed.models.host_settings import HostSettings
 from knapweedshed.models.outcomes import StoredRecord
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -70,7 +71,12 @@
     The log takes records of at most `max_record_bytes`.
     """
 
-    def __init__(self, workers=2, max_record_bytes=SETTINGS.log_record_bytes):
+    def __init__(
+        self,
+        workers=2,
+        max_record_bytes=SETTINGS.log_record_bytes,
+        overload_policies=NO_OVERLOAD_POLICIES,
+    ):
         register_all()
         self.clock = ManualClock(60_000)
         self.appender = FakeActorRef()
@@ -87,6 +93,7 @@
                 mock.Mock(),
                 self.appender,
                 settings,
+                overload_policies,
             )
         for message in (UseLogTail(FakeActorRef()), UseWorkerFeed(FakeActorRef())):
             self.controller.receive(message)
