--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -14,6 +14,7 @@
     AppendDone,
     AppendFailed,
     AppendRecord,
+    ReadNow,
     RecordsRead,
     Tick,
 )
@@ -142,6 +143,8 @@
         self.assertTrue(self.decide(job, 1_000).admitted)
 
     def test_guaranteed_urgent_work_is_admitted(self):
+        # Much work of another priority, so that the organisation has its fair share.
+        self.accept(make_job("d" * 16, (make_step(50),), organisation="covered"))
         job = make_urgent_job(organisation="covered")
         self.assertTrue(self.decide(job, 10 * LATEST_START_MS).admitted)
 
@@ -348,8 +351,10 @@
         host.report_load()
         host.clock.advance(10)
         host.submit(JOB_IDS[0])
+        host.tail.take(ReadNow)
         host.read(requested_ago_ms=20)
         self.assertEqual(host.take_replies(), [])
+        self.assertEqual(host.tail.take(ReadNow), [ReadNow()])
         host.clock.advance(LOG_READ_TIMEOUT_MS)
         host.jobs.receive(Tick())
         self.assertEqual(len(host.appender.take(AppendRecord)), 1)
@@ -372,6 +377,24 @@
         host.report_load()
         self.assertEqual(len(host.submit(JOB_IDS[0])), 1)
 
+    def test_job_whose_append_fails_while_a_second_call_waits_is_not_rejected(self):
+        host = EntryHost()
+        host.report_load()
+        host.submit(JOB_IDS[0])
+        host.clock.advance(100)
+        host.submit(JOB_IDS[0])
+        host.clock.advance(LOG_READ_TIMEOUT_MS - 100)
+        host.jobs.receive(Tick())
+        (append,) = host.appender.take(AppendRecord)
+        host.jobs.receive(AppendFailed(append.record_id, True, "", False))
+        host.clock.advance(2_700)
+        host.jobs._finish_with_unknown_outcome(
+            host.jobs._pending_appends[append.record_id]
+        )
+        host.read()
+        codes = [reply.result.code for reply in host.take_replies()]
+        self.assertNotIn(ResultCode.CAPACITY_SHORT, codes)
+
     @settings(max_examples=200, deadline=None)
     @given(st.lists(ACTION, max_size=30))
     def test_no_rejected_job_is_in_the_log_or_may_get_there(self, actions):
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -165,6 +165,12 @@
         queues = [room.ledger.jobs[i.units[0].job_id].job.queue for i in room.ordered()]
         self.assertEqual(queues, ["batch", "normal"])
 
+    def test_urgent_work_precedes_work_of_higher_worth_for_its_size(self):
+        drawn = [("batch", 100, 27_000, "s"), ("urgent", 20_000, 20_000, "s")]
+        room = make_room(drawn)
+        self.assertEqual([item.priority for item in room.ordered()], [0, 2])
+        self.assertEqual(list(room._policy.shortages), ["planner"])
+
     def test_higher_priority_precedes_among_work_alike(self):
         drawn = [("batch", 9_000, 28_000, "s"), ("normal", 9_000, 28_000, "s")]
         room = make_room(drawn * 3)
