--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -141,6 +141,7 @@
             planning_input, waiting_steps, self._capacity
         )
         self._capacity.keep_rooms(kept_rooms)
+        self._ordering_policy.start_pass(waiting_steps, planning_input)
         waiting_steps.sort(key=self._sort_key)
         for waiting in waiting_steps:
             if not (self._counted_ends or self._is_overdue(waiting)):
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -3,6 +3,8 @@
 Every reader of the stream, entry or scheduler, derives the same state.
 """
 
+from knapweedshed.decisions.overload.load_figure import check_loads
+from knapweedshed.decisions.overload.queue_sizes import QueueSizes
 from knapweedshed.models.work import (
     GANG_INDEX,
     EndKind,
@@ -15,6 +17,7 @@
     ActingBeat,
     ActingClaimed,
     ActingResigned,
+    LoadReported,
     RunsLaunched,
     SpeedsLearned,
     TasksEnded,
@@ -165,6 +168,8 @@
         self._acting_host = ""
         self._claimed_offset = -1
         self._speeds = {}
+        self._queue_sizes = QueueSizes()
+        self._load_report = None
 
     @property
     def jobs(self):
@@ -181,6 +186,16 @@
         """Return {worker id: (incarnation, percent)}, the latest speeds in the log."""
         return self._speeds
 
+    @property
+    def queue_sizes(self):
+        """Return the `QueueSizes` of the recent jobs."""
+        return self._queue_sizes
+
+    @property
+    def load_report(self):
+        """Return the latest `LoadReported` of the epoch in force, or None."""
+        return self._load_report
+
     @property
     def epoch(self):
         """Return the epoch of the last valid claim; 0 before the first."""
@@ -238,6 +253,10 @@
             self._apply_heartbeat(offset, record)
         elif isinstance(record, SpeedsLearned):
             self._apply_speeds(record)
+        elif isinstance(record, LoadReported):
+            check_loads(record.loads)
+            if record.epoch == self._epoch:
+                self._load_report = record
         elif isinstance(record, ActingResigned) and record.epoch == self._epoch:
             self._acting_host = ""
         return ()
@@ -283,6 +302,7 @@
 
     def _add_job(self, job, offset):
         progress = self._jobs[job.job_id] = JobProgress(job, offset)
+        self._queue_sizes.note(job)
         if self._early_cancels.pop(job.job_id, False):
             progress.state = WorkState.CANCELLED
         return progress
@@ -303,6 +323,7 @@
         if claim.epoch == self._epoch + 1:
             self._epoch = claim.epoch
             self._acting_host = claim.host
+            self._load_report = None
             self._claimed_offset = offset
 
     def _apply_ends(self, record):
--- a/scripts/work_emulator.py
+++ b/scripts/work_emulator.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from knapweedshed.decisions.dispatch import Dispatcher
+from knapweedshed.decisions.overload.shedding import create_overload_ordering
 from knapweedshed.decisions.unit_runs import TimeLimits
 from knapweedshed.decisions.work_ledger import WorkLedger
 from knapweedshed.decisions.work_order import (
@@ -115,8 +116,11 @@
             restore_ms=CHECKPOINT_RESTORE_MS,
             stop_ms=STOP_DELAY_MS,
         )
+        ordering_policy = create_ordering_policy(policy)
+        if overload.load_shedding:
+            ordering_policy = create_overload_ordering(overload)
         self._dispatcher = Dispatcher(
-            self._ledger, time_limits, create_ordering_policy(policy), 0, overload
+            self._ledger, time_limits, ordering_policy, 0, overload
         )
         organisations = tuple(
             ConfiguredOrganisation(name, (name,), count)
--- a/tests/scheduling_harness.py
+++ b/tests/scheduling_harness.py
@@ -27,6 +27,7 @@
 from knapweedshed.links import worker_links
 from knapweedshed.models.host_settings import HostSettings
 from knapweedshed.models.outcomes import StoredRecord
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
     ConfiguredOrganisation,
     ServiceConfiguration,
@@ -77,6 +78,7 @@
         workers=2,
         max_record_bytes=SETTINGS.log_record_bytes,
         evacuation_ms=SETTINGS.evacuation_ms,
+        overload_policies=NO_OVERLOAD_POLICIES,
     ):
         register_all()
         self.clock = ManualClock(60_000)
@@ -96,6 +98,7 @@
                 mock.Mock(),
                 self.appender,
                 settings,
+                overload_policies,
             )
         for message in (UseLogTail(FakeActorRef()), UseWorkerFeed(FakeActorRef())):
             self.controller.receive(message)
