--- a/tests/test_work_emulator.py
+++ b/tests/test_work_emulator.py
@@ -35,7 +35,7 @@
         day = {**load_scenario("sahel"), "length_ms": DAY_LENGTH_MS, "kinds": kinds}
         for seed in SEEDS:
             policies = OverloadPolicies(load_shedding=True)
-            emulator = Emulator(draw_day(day, seed), seed, policies=policies)
+            emulator = Emulator(draw_day(day, seed), seed, overload=policies)
             result = emulator.run()
             self.assertEqual(result.violations, (), seed)
             self.assertGreater(result.runs, 0)
