Keep gangs off workers whose last run failed

Two failures on end took a worker out of use for 2 s only, and each return broke gangs again.

With the new policy suspect_avoidance a worker is a suspect after a failure until it succeeds, for 10 s at most and a fifth of the workers at most: gangs, and units that have failed before, avoid it, and single tasks try it out. Ruled out: quarantine at the first failure, which takes sound workers out of use for each task that fails by its own fault (5% do).

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -97,7 +97,7 @@
             (worker_id, *known) for worker_id, known in ledger.speeds.items()
         )
         self._failure_attribution = FailureAttribution(
-            ledger, self._workers, self._unit_runs
+            ledger, self._workers, self._unit_runs, policies
         )
         self._speed_observer = SpeedObserver(
             ledger, self._workers, self._unit_runs, self._speeds
@@ -399,7 +399,7 @@
                 self._unit_runs,
                 self._configuration,
                 self._speeds,
-                self._failure_attribution.avoided_workers,
+                self._failure_attribution.avoided_workers(waiting_units, now_ms),
                 now_ms,
                 wall_ms,
                 self._silence_observer.silent_data_centres
--- a/knapweedshed/decisions/failure_attribution.py
+++ b/knapweedshed/decisions/failure_attribution.py
@@ -4,6 +4,8 @@
 after the other, and with them the work of everybody else.
 """
 
+from knapweedshed.decisions.overload.suspect_workers import SuspectWorkers
+from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.work import unit_of_task
 
 # A unit that has failed on this many different workers in a row is the likely cause.
@@ -24,17 +26,20 @@
     The memory lasts for the scheduler's epoch; a successor learns it again.
     """
 
-    def __init__(self, ledger, workers, unit_runs):
+    def __init__(self, ledger, workers, unit_runs, policies=NO_OVERLOAD_POLICIES):
         self._ledger = ledger
         self._workers = workers
         self._unit_runs = unit_runs
         self._failed_runs = {}  # by unit, {run: worker id} of its failures in a row
         self._avoided_workers = {}
+        self._suspects = SuspectWorkers(ledger, workers)
+        self._avoids_suspects = policies.suspect_avoidance
 
-    @property
-    def avoided_workers(self):
+    def avoided_workers(self, units, now_ms):
         """Return {unit: {worker id: until when it avoids the worker}}."""
-        return self._avoided_workers
+        if not self._avoids_suspects:
+            return self._avoided_workers
+        return self._suspects.extend(self._avoided_workers, units, now_ms)
 
     def avoid(self, task, worker_id, now_ms):
         """Run a unit elsewhere next, so that a faulty worker fails it only once."""
@@ -61,6 +66,7 @@
         failed_on = set(failed_runs.values())
         if len(failed_on) < WORKERS_TO_BLAME_UNIT_COUNT:
             worker.record_failure(now_ms, unit)
+            self._suspects.note_failure(worker, now_ms)
         elif len(failed_on) >= WORKERS_TO_CLEAR_COUNT:
             for worker_id in failed_on & self._workers.keys():
                 self._workers[worker_id].withdraw_failures(unit)
@@ -69,6 +75,7 @@
     def note_done(self, worker, end):
         """Take the end of a run that is done."""
         worker.record_success()
+        self._suspects.note_success(worker)
         if self._ledger.has_task(end.task):
             self._failed_runs.pop(self._unit_of(end.task), None)
 
--- a/knapweedshed/models/overload.py
+++ b/knapweedshed/models/overload.py
@@ -9,7 +9,8 @@
     `headroom` keeps capacity free for waves of urgent work, `costed_preemption` weighs
     what a stop loses, `load_shedding` orders waiting work by what its delay costs,
     `admission_control` rejects submissions that can't end in time, and `drain_notice`
-    moves work off workers before they leave.
+    moves work off workers before they leave. `suspect_avoidance` keeps gangs off
+    workers whose last run failed.
     """
 
     headroom: bool = False
@@ -17,6 +18,7 @@
     load_shedding: bool = False
     admission_control: bool = False
     drain_notice: bool = False
+    suspect_avoidance: bool = False
 
 
 NO_OVERLOAD_POLICIES = OverloadPolicies()
