Let guaranteed work preempt what loses least, spared units included

What a search remembers now depends on whether the unit is guaranteed, as its candidates do; a property test compares plans with policies with and without that memory.

--- a/knapweedshed/decisions/planning_units.py
+++ b/knapweedshed/decisions/planning_units.py
@@ -349,14 +349,17 @@
     ):
         """Return victims that cost `max_cost` core-seconds at most, or None.
 
-        What earlier preemptions for the unit have cost counts too. With
-        `from_borrowers` the victims may be urgent units that no guarantee covers.
+        What earlier preemptions for the unit have cost counts too. Guaranteed work may
+        preempt spared units: leaving them out made it stop runs that had done far more
+        (docs/design/preemption-and-headroom.md). With `from_borrowers` the victims may
+        be urgent units that no guarantee covers.
         """
         claims = self._planning_input.preemption_claims
         max_cost -= claims.lost_core_s(waiting.units[0])
         key = (
             self._capacity.search_key(waiting, multi_rack, min_speed),
             waiting.priority,
+            waiting.guaranteed,
             from_borrowers,
             max_cost,
             self._capacity.version,
@@ -366,14 +369,16 @@
         candidates = self._candidates_below(waiting.priority)
         if from_borrowers:
             candidates = candidates + self._borrowing_candidates()
-        workers = self._capacity.workers_after_stops(waiting, min_speed)
-        victims = None
-        for choice in _preferred_candidates(candidates, waiting.guaranteed):
-            victims = choose_victims(
-                waiting.step, waiting.count, workers, choice, multi_rack, max_cost
-            )
-            if victims:
-                break
+        if not waiting.guaranteed:
+            candidates = [item for item in candidates if not item.spared]
+        victims = choose_victims(
+            waiting.step,
+            waiting.count,
+            self._capacity.workers_after_stops(waiting, min_speed),
+            candidates,
+            multi_rack,
+            max_cost,
+        )
         if not victims:
             self._no_victims.add(key)
         return victims
@@ -451,14 +456,6 @@
         ]
 
 
-def _preferred_candidates(candidates, guaranteed):
-    """Return the lists of candidates to try in turn: without the spared ones first."""
-    worth_stopping = [candidate for candidate in candidates if not candidate.spared]
-    if guaranteed and len(worth_stopping) < len(candidates):
-        return worth_stopping, candidates
-    return (worth_stopping,)
-
-
 def max_preemption_cost(waiting, now_ms):
     """Return the core-seconds that preemption for this unit may lose.
 
--- a/knapweedshed/decisions/preemption.py
+++ b/knapweedshed/decisions/preemption.py
@@ -14,8 +14,8 @@
     """A running unit that may be preempted.
 
     `allocations` has (worker id, resources) for each task; `cost` is the work
-    that a stop would lose, in core-seconds. A `spared` unit is only preempted if a
-    guarantee requires it.
+    that a stop would lose, in core-seconds. A `spared` unit is only preempted for
+    guaranteed work.
     """
 
     unit: object
--- a/tests/test_stop_costs.py
+++ b/tests/test_stop_costs.py
@@ -6,11 +6,12 @@
 from hypothesis import HealthCheck, given, settings
 
 from knapweedshed.decisions import planning_units
+from knapweedshed.decisions.failed_searches import FailedSearches
 from knapweedshed.decisions.overload.stop_costs import CostedStops
 from knapweedshed.decisions.preemption import PreemptionCandidate, choose_victims
 from knapweedshed.decisions.tracked_workers import AssignedRun, RunPhase
 from knapweedshed.decisions.unit_runs import TimeLimits, UnitRun
-from knapweedshed.decisions.work_order import core_seconds
+from knapweedshed.decisions.work_order import core_seconds, create_ordering_policy
 from knapweedshed.models.dispatch_actions import Preempted, RunStopped
 from knapweedshed.models.overload import OverloadPolicies
 from knapweedshed.models.work import GANG_INDEX, TaskRun, Unit, tasks_of_unit
@@ -220,6 +221,35 @@
         self.assertEqual(plan.events, ())
 
 
+class PlanMemoryTest(unittest.TestCase):
+    """A search of one unit must not answer for another that may stop other runs."""
+
+    @given(planning_inputs())
+    @settings(
+        max_examples=400,
+        derandomize=True,
+        deadline=None,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
+    def test_plan_with_policies_is_what_it_would_be_without_memory(
+        self, planning_input
+    ):
+        with mock.patch.object(FailedSearches, "has", return_value=False):
+            plan = self._make_plan(planning_input)
+        self.assertEqual(plan, self._make_plan(planning_input))
+
+    def _make_plan(self, planning_input):
+        planner = planning_units.UnitPlanner(
+            create_ordering_policy(), LIMITS, OverloadPolicies(True, True)
+        )
+        units = list(planning_input.runs)[:2]
+        victims = [PreemptionCandidate(unit, (), 8.0) for unit in units]
+        planner._stop_rules.record_stops(victims)
+        entries = [worker.entry for worker in planning_input.workers.values()]
+        planner.update_workers(entries)
+        return planner.plan(planning_input)
+
+
 class RulesTest(unittest.TestCase):
     """Rules that keep what they have seen for ever would grow with every job."""
 
