Declare the fields of the platform's routes in one table

A review of the configuration needs the name, check and default of each field to report the place of a fault. They were in the body of decode_configuration only; a second list would have drifted from it. decode_configuration now reads the table; what it accepts is unchanged.

--- a/knapweedshed/platform/feeds.py
+++ b/knapweedshed/platform/feeds.py
@@ -10,6 +10,10 @@
     ServiceConfiguration,
 )
 from knapweedshed.models.work import Resources, WorkerEntry
+from knapweedshed.platform.configuration_fields import (
+    DEFAULT_MAX_BODY_BYTES,
+    QUEUE_FIELDS,
+)
 from knapweedshed.platform.fields import (
     parse_ipv4_address,
     parse_number,
@@ -239,17 +243,7 @@
 def decode_configuration(fields):
     """Return the `ServiceConfiguration`; raises one of `DECODE_ERRORS`."""
     queues = tuple(
-        Queue(
-            parse_text(route["name"]),
-            parse_text(route["host"]),
-            parse_text(route["path_prefix"]),
-            parse_text(route["service"]),
-            int(parse_number(route.get("priority", 0))),
-            int(parse_number(route.get("max_attempts", 1))),
-            parse_number(route.get("slo_factor", 1.0)),
-            int(parse_number(route.get("slo_ms", 0))),
-            bool(route.get("public", False)),
-        )
+        Queue(**{field.name: field.decode(route) for field in QUEUE_FIELDS})
         for route in fields["routes"]
     )
     organisations = tuple(
@@ -260,7 +254,9 @@
         )
         for tenant in fields.get("tenants", ())
     )
-    max_body_bytes = fields.get("limits", {}).get("max_body_bytes", 262_144)
+    max_body_bytes = fields.get("limits", {}).get(
+        "max_body_bytes", DEFAULT_MAX_BODY_BYTES
+    )
     return ServiceConfiguration(
         int(parse_number(fields["version"])),
         queues,
