Add the command config review

Operators had no way to check a configuration file before sending it, without a network, and none for the platform's. The command prints findings as text or JSON; statuses 0 to 2 are for scripts, 3 says that no entry host answered. A Python file that raises or exits is one line with status 2: it was a traceback with status 1, which now means warnings only.

--- a/knapweedshed/programs/client.py
+++ b/knapweedshed/programs/client.py
@@ -14,15 +14,19 @@
 from knapweedshed import __version__
 from knapweedshed.clock import MS_PER_SECOND, create_clock
 from knapweedshed.codecs import json_text
+from knapweedshed.links.configuration_review import ReviewInput
 from knapweedshed.links.entry_client import EntryClient, JobSubmission
 from knapweedshed.programs.explain_command import print_explanation
+from knapweedshed.programs.review_command import load_json_file, print_review
 from knapweedshed.results import Result, ResultCode, is_final, is_not_run
 from knapweedshed.settings import parse_address
-from knapweedshed.status import ExitStatus
+from knapweedshed.status import ExitStatus, ReviewStatus
 
 ENTRIES_ENV_VARIABLE = "KNAPWEEDSHED_ENTRIES"
 DEFAULT_ENTRIES = "127.0.0.1:21000"
 DEFAULT_WAIT_SECONDS = 600
+IN_FORCE_PATHS = {"in_force": "/v1/organisations", "workers": "/v1/listings/workers"}
+EXIT_STATUSES = (ExitStatus, ReviewStatus)
 
 
 class Client:
@@ -146,6 +150,39 @@
         """Validate the entry in FILE without publishing it."""
         return self._post_entry(file, "/v1/configuration/check")
 
+    @SetParseFns(file=str, against=str, workers=str)
+    def review(
+        self, file, kind="own", against="", workers="", in_force=False, json=False
+    ):
+        """Print faults of a configuration FILE and what it changes, without sending it.
+
+        Args:
+            file: the entry (Python or JSON), or the platform's configuration (JSON).
+            kind: own, or platform for the platform's configuration.
+            against: file with the version in force.
+            workers: file with the list of workers.
+            in_force: ask an entry host for the version in force and the workers;
+                only with the kind own. Files given take precedence.
+            json: print the findings as a JSON list.
+        """
+        if in_force and kind != "own":
+            raise ValueError("--in-force: expected --kind own")
+        compared = {
+            "in_force": load_json_file(_read_input, against),
+            "workers": load_json_file(_read_input, workers),
+        }
+        if in_force:
+            for name, path in IN_FORCE_PATHS.items():
+                if compared[name] is not None:
+                    continue
+                response = self._client.request_json("GET", path)
+                if isinstance(response, Result) or "rows" not in response[1]:
+                    print(f"{path}: no answer: {response}", file=sys.stderr)
+                    return ExitStatus.NOT_RUN
+                compared[name] = response[1]["rows"]
+        content = load_json_file(_read_configuration, file)
+        return print_review(kind, ReviewInput(content, **compared), json)
+
     def publish(self, file):
         """Publish the entry in FILE, and print whether it was accepted."""
         return self._post_entry(file, "/v1/configuration")
@@ -212,12 +249,12 @@
         return ExitStatus.USAGE
     except KeyboardInterrupt:
         return ExitStatus.INTERRUPTED
-    return status if isinstance(status, ExitStatus) else ExitStatus.SUCCESS
+    return status if isinstance(status, EXIT_STATUSES) else ExitStatus.SUCCESS
 
 
 def _hide_exit_status(value):
     """Return the value that fire prints: nothing for an exit status."""
-    return None if isinstance(value, ExitStatus) else value
+    return None if isinstance(value, EXIT_STATUSES) else value
 
 
 def _read_input(file):
@@ -227,19 +264,28 @@
         return file_object.read()
 
 
+def _read_configuration(file):
+    """Return the text of a file, or what a Python file prints.
+
+    Raises OSError if it can't be read, and ValueError if the Python file fails.
+    """
+    if not str(file).endswith(".py"):
+        return _read_input(file).decode("utf-8", "replace")
+    printed = StringIO()
+    try:
+        with redirect_stdout(printed):
+            runpy.run_path(file, run_name="__main__")
+    except (Exception, SystemExit) as error:
+        raise ValueError(f"{file}: {error!r}") from error
+    return printed.getvalue()
+
+
 def _load_configuration_entry(file):
     """Return the entry in a JSON file, or the one that a Python file prints.
 
     Raises ValueError if it is not an entry, and OSError if it can't be read.
     """
-    if str(file).endswith(".py"):
-        printed = StringIO()
-        with redirect_stdout(printed):
-            runpy.run_path(file, run_name="__main__")
-        content = printed.getvalue()
-    else:
-        content = _read_input(file).decode("utf-8", "replace")
-    entry = json_text.loads(content)
+    entry = json_text.loads(_read_configuration(file))
     if not isinstance(entry, dict) or not isinstance(entry.get("parts"), dict):
         raise ValueError(f"{file}: expected one entry with parts")
     return entry
--- a/knapweedshed/status.py
+++ b/knapweedshed/status.py
@@ -13,3 +13,15 @@
     OUTCOME_UNKNOWN = 4
     TIMEOUT = 5
     INTERRUPTED = 130
+
+
+class ReviewStatus(IntEnum):
+    """The exit status of `config review`, if it could review the file.
+
+    `FINDINGS` are warnings and differences. `ERRORS` equals `ExitStatus.USAGE`: either
+    says that the configuration must not be sent.
+    """
+
+    CLEAN = 0
+    FINDINGS = 1
+    ERRORS = 2
