Limit no lease by a predecessor's word once the worker has answered

A worker that restarted counts as not having answered yet. The predecessor's record of lease ends, which is applied with each page of the log, then ended the lease that this host itself had granted: an unanswered start counted as lapsed at the next tick, and its unit was started again while the first start could still reach the new incarnation. The lease is now left alone once the worker has ever answered this host.

--- a/knapweedshed/decisions/tracked_workers.py
+++ b/knapweedshed/decisions/tracked_workers.py
@@ -204,8 +204,12 @@
         return max(0, self._lease_expiry_ms - now_ms)
 
     def limit_lease(self, lease_end_ms):
-        """Take an earlier end of the lease, unless the worker itself has answered."""
-        if not self.has_answered:
+        """Take an earlier end of the lease, unless the worker has ever answered.
+
+        This scheduler may have granted leases since. A restart takes back
+        `has_answered`, but a start that was sent before may still reach the worker.
+        """
+        if not self.has_answered and self.last_answer_ms < 0:
             self._lease_expiry_ms = min(self._lease_expiry_ms, lease_end_ms)
 
     def update_entry(self, entry, now_ms):
--- a/tests/test_predecessor_leases.py
+++ b/tests/test_predecessor_leases.py
@@ -91,6 +91,20 @@
         self.harness.dispatcher.limit_leases(lambda worker_id: 0)
         self.assertGreater(worker.lease_left_ms(self.harness.now_ms), 5_000)
 
+    def test_lease_that_this_host_granted_is_not_limited_after_a_restart(self):
+        """The start that was sent before may reach the new incarnation of a worker."""
+        harness = DispatchHarness(workers=1)
+        harness.start_term()
+        harness.start_term()
+        harness.accept(make_job())
+        harness.lossy.add("w0")
+        harness.plan()
+        harness.entries = [harness.entries[0]._replace(incarnation=2)]
+        harness.apply_worker_list()
+        harness.dispatcher.limit_leases(lambda worker_id: 0)
+        harness.pass_time(300)
+        self.assertEqual(len(harness.dispatcher.runs), 1)
+
 
 class EndOfTermTest(unittest.TestCase):
     def setUp(self):
