Leave long-running work and rounding errors out of the load figure

A waiting long-running step was due at once, with its estimate as its size: one that found no worker made its service short, and its hours counted as work ahead of every job of the same or a lower priority, which admission then rejected. It has no end, so it is counted in neither; a running one occupies its room for good instead of for its estimate.

The rate left to the lowest priority was a difference: with 0.1 and 0.2 finished above it, 5e-17 was left, and the time to start was 1e12 ms instead of unknown, so that its jobs were rejected. The rate is now the sum of the own and the lower priorities' rates.

Three new tests failed before (starts of 3,600,000 and 1e12 ms, a false shortage). test_load_figure, test_admission, test_load_shedding: passed.

--- a/knapweedshed/decisions/overload/load_figure.py
+++ b/knapweedshed/decisions/overload/load_figure.py
@@ -48,21 +48,26 @@
 
     A new job starts after the work of its own and of higher priorities that waits and
     can still end within three times its objective. What is left to it is the rate of
-    its service less what work of higher priorities takes.
+    its service less what work of higher priorities takes. Long-running work has no end
+    that could be waited for.
     """
     waiting_core_s = {}
     for waiting in waiting_steps:
         key = (waiting.service, waiting.priority)
+        if waiting.step.lasting:
+            continue
         if now_ms + waiting.critical_path_ms <= waiting.late_limit_ms:
             waiting_core_s[key] = waiting_core_s.get(
                 key, 0.0
             ) + waiting.work_core_s * len(waiting.units)
     loads = []
     for service in sorted(services):
-        keys = {key for key in (*waiting_core_s, *rates) if key[0] == service}
-        rate = sum(rates.get(key, 0.0) for key in keys)
+        keys = sorted({key for key in (*waiting_core_s, *rates) if key[0] == service})
         ahead_core_s = 0.0
-        for key in sorted(keys):
+        for index, key in enumerate(keys):
+            # Subtracting the higher rates from the total leaves a rounding error, and
+            # with it a time to start of years where none is known.
+            rate = sum(rates.get(lower, 0.0) for lower in keys[index:])
             ahead_core_s += waiting_core_s.get(key, 0.0)
             loads.append(
                 PriorityLoad(
@@ -72,7 +77,6 @@
                     _start_in_ms(ahead_core_s, rate),
                 )
             )
-            rate -= rates.get(key, 0.0)
     return tuple(loads)
 
 
--- a/knapweedshed/decisions/overload/shortage.py
+++ b/knapweedshed/decisions/overload/shortage.py
@@ -1,5 +1,6 @@
 """Detects a shortage: more waiting work than its service can finish in time."""
 
+import math
 from bisect import bisect_right
 from itertools import accumulate
 from typing import NamedTuple
@@ -13,11 +14,14 @@
 
 
 class RunningWork(NamedTuple):
-    """What a run occupies, and for how long it still will by its estimate."""
+    """What a run occupies, and for how long it still will by its estimate.
+
+    `remaining_ms` is infinite for long-running work.
+    """
 
     service: str
     need: Resources
-    remaining_ms: int
+    remaining_ms: float
 
 
 class Shortage(NamedTuple):
@@ -44,12 +48,14 @@
 
 
 def running_work(ledger, runs, now_ms):
-    """Return a `RunningWork` for each run of a unit."""
+    """Return a `RunningWork` for each run of a unit; long-running work never ends."""
     running = []
     for unit, unit_run in runs.items():
         job = ledger.jobs[unit.job_id].job
         step = job.steps[unit.step]
         remaining_ms = max(0, step.estimate_ms - (now_ms - unit_run.started_ms))
+        if step.lasting:
+            remaining_ms = math.inf
         need = step.need.times(len(unit_run.workers_by_task))
         running.append(RunningWork(job.service, need, remaining_ms))
     return running
@@ -125,7 +131,9 @@
 
 
 def _due_ms(waiting, now_ms):
-    """Return by when a step should end, or None if it is too late for that."""
+    """Return by when a step should end; None if it is too late, or has no end."""
+    if waiting.step.lasting:
+        return None
     end_ms = now_ms + waiting.critical_path_ms
     if end_ms > waiting.late_limit_ms:
         return None
--- a/tests/test_load_figure.py
+++ b/tests/test_load_figure.py
@@ -71,6 +71,12 @@
     def test_work_that_is_too_late_is_not_counted(self):
         self.assertFalse(self._is_short([make_waiting(100, due_ms=300)]))
 
+    def test_long_running_work_that_waits_is_no_shortage(self):
+        """It has no end by which its service would have to finish it."""
+        step = make_step(estimate_ms=3_600_000, lasting=True)
+        waiting = make_waiting(1, step=step, due_ms=0)._replace(critical_path_ms=0)
+        self.assertFalse(self._is_short([waiting]))
+
     def test_service_without_workers_is_short(self):
         self.assertTrue(find_shortages([make_waiting()], [], {}, 0))
 
@@ -96,6 +102,19 @@
     def test_start_is_unknown_while_nothing_is_finished(self):
         self.assertEqual(self._measure([make_waiting(4)], {}), {1: -1})
 
+    def test_start_is_unknown_while_higher_priorities_finish_all(self):
+        """0.1 + 0.2 - 0.1 - 0.2 is above 0: all other work would be rejected."""
+        rates = {("planner", 0): 0.1, ("planner", 1): 0.2}
+        starts = self._measure([make_waiting(4, 2)], rates)
+        self.assertEqual(starts[2], -1)
+
+    def test_long_running_work_is_not_waited_for(self):
+        """It has no size: with its estimate, all other work would be rejected."""
+        step = make_step(estimate_ms=3_600_000, lasting=True)
+        lasting = make_waiting(1, step=step, due_ms=0)._replace(critical_path_ms=0)
+        starts = self._measure([lasting], {("planner", 1): 16.0})
+        self.assertEqual(starts, {1: 0})
+
     def test_rates_are_known_only_after_a_while_and_forget_old_ends(self):
         rates = FinishRates(0)
         rates.note_end("planner", 1, 40.0, 1_000)
