--- a/knapweedshed/decisions/overload/suspect_workers.py
+++ b/knapweedshed/decisions/overload/suspect_workers.py
@@ -5,6 +5,8 @@
 before, avoid it, and only single tasks try it out.
 """
 
+from collections import Counter
+
 from knapweedshed.models.work import GANG_INDEX
 
 # A worker that nobody tries out is used again after this, longer than most runs.
@@ -43,15 +45,37 @@
         }
         if not self._until_ms:
             return avoided_workers
-        limit = max(1, int(MAX_SUSPECT_SHARE * len(self._workers)))
-        suspects = dict(list(self._until_ms.items())[-limit:])
+        suspects_by_service = self._suspects_by_service()
         extended = dict(avoided_workers)
         for unit in units:
-            if self._avoids_suspects(unit):
+            service = self._ledger.jobs[unit.job_id].job.service
+            suspects = suspects_by_service.get(service)
+            if suspects and self._avoids_suspects(unit):
                 own = avoided_workers.get(unit)
                 extended[unit] = {**suspects, **own} if own else suspects
         return extended
 
+    def _suspects_by_service(self):
+        """Return {service: {worker id: until}} of its latest suspects.
+
+        The only worker of a service is left out: whoever avoids it can't run at all.
+        """
+        service_by_worker = {
+            worker_id: worker.entry.service
+            for worker_id, worker in self._workers.items()
+            if worker.entry is not None
+        }
+        suspects_by_service = {}
+        for worker_id, until_ms in self._until_ms.items():
+            service = service_by_worker.get(worker_id)
+            suspects_by_service.setdefault(service, []).append((worker_id, until_ms))
+        counts = Counter(service_by_worker.values())
+        return {
+            service: dict(suspects[-max(1, int(MAX_SUSPECT_SHARE * counts[service])) :])
+            for service, suspects in suspects_by_service.items()
+            if counts[service] > 1
+        }
+
     def _avoids_suspects(self, unit):
         if unit.index == GANG_INDEX:
             return True
--- a/tests/test_suspect_workers.py
+++ b/tests/test_suspect_workers.py
@@ -12,7 +12,7 @@
 from knapweedshed.decisions.overload.suspect_workers import SUSPICION_MS
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES, OverloadPolicies
 from knapweedshed.models.work import EndKind
-from tests.dispatch_harness import DispatchHarness, make_job, make_step
+from tests.dispatch_harness import DispatchHarness, make_entry, make_job, make_step
 
 SUSPECT_AVOIDANCE = OverloadPolicies(suspect_avoidance=True)
 
@@ -92,6 +92,44 @@
             attribution._suspects.note_failure(worker, harness.now_ms)
         self.assertEqual(len(start_gang(harness, 64)), 64)
 
+    def test_suspects_of_a_small_service_leave_most_of_it_in_use(self):
+        """A fifth of all workers may be more than a small service has."""
+        entries = [make_entry(number) for number in range(4)]
+        entries += [make_entry(number, service="other") for number in range(4, 40)]
+        harness = DispatchHarness(entries=entries, policies=SUSPECT_AVOIDANCE)
+        harness.start_term()
+        attribution = harness.dispatcher._failure_attribution
+        for number in range(4):
+            worker = harness.dispatcher.workers[f"w{number}"]
+            attribution._suspects.note_failure(worker, harness.now_ms)
+        self.assertEqual(len(start_gang(harness, 24)), 24)
+
+    def test_only_worker_of_a_service_is_not_avoided(self):
+        """Single tasks that fail there would keep gangs off it for good."""
+        harness = DispatchHarness(workers=1, policies=SUSPECT_AVOIDANCE)
+        harness.start_term()
+        worker = harness.dispatcher.workers["w0"]
+        suspects = harness.dispatcher._failure_attribution._suspects
+        suspects.note_failure(worker, harness.now_ms)
+        self.assertEqual(start_gang(harness), ["w0", "w0"])
+
+
+class AvoidedWorkersMemoryTest(unittest.TestCase):
+    def test_workers_that_ended_jobs_avoided_are_forgotten(self):
+        """The memory grew with each failed unit until the end of the term."""
+        harness = DispatchHarness(workers=2)
+        harness.start_term()
+        for number in range(20):
+            harness.now_ms += 20_000
+            harness.accept(make_job(f"{number:016x}", max_failures=1))
+            harness.hold_all()
+            start = harness.started[-1]
+            harness.end(start.worker_id, start.task, EndKind.FAILED)
+            harness.hold_all()
+        self.assertEqual(len(harness.started), 20)
+        avoided_workers = harness.dispatcher._failure_attribution._avoided_workers
+        self.assertLessEqual(len(avoided_workers), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
