Measure the load at most every 500 ms, and more seldom if that is slow

While nothing was published, and from 500 ms after each figure on, the acting host measured the load at each tick of 200 ms. With 10,000 waiting jobs one measurement took 213 ms here, so the host did little else, and unlike planning nothing limited its share.

--- a/knapweedshed/controllers/load_reports.py
+++ b/knapweedshed/controllers/load_reports.py
@@ -1,6 +1,8 @@
 """Load figures that the acting host publishes in the work stream."""
 
 from knapweedshed.decisions.overload.load_figure import (
+    MIN_REPORT_PERIOD_MS,
+    SHORTAGE_REPORT_PERIOD_MS,
     FinishRates,
     ReportSchedule,
     measure_loads,
@@ -18,6 +20,8 @@
 from knapweedshed.models.work_records import LoadReported
 
 MAX_LOGGED_LOADS_COUNT = 20
+# Times the last measurement's duration; limits it to a quarter of the processor time.
+MEASURE_PERIOD_RATIO = 4
 
 
 class LoadReports:
@@ -28,6 +32,7 @@
         self._ledger = ledger
         self._rates = FinishRates(context.clock.now_ms())
         self._schedule = ReportSchedule()
+        self._next_measure_ms = 0
 
     def note_ends(self, ends):
         """Take the ends of runs that this host has recorded."""
@@ -41,9 +46,13 @@
 
     def due(self, dispatcher, now_ms):
         """Return the `LoadReported` to append now, as a list of one or none."""
-        if not self._schedule.is_open(now_ms):
+        if now_ms < self._next_measure_ms or not self._schedule.is_open(now_ms):
             return []
-        loads = self._schedule.take_due(self._measure(dispatcher, now_ms), now_ms)
+        measured = self._measure(dispatcher, now_ms)
+        duration_ms = self._context.clock.now_ms() - now_ms
+        period_ms = max(MIN_REPORT_PERIOD_MS, MEASURE_PERIOD_RATIO * duration_ms)
+        self._next_measure_ms = now_ms + min(SHORTAGE_REPORT_PERIOD_MS, period_ms)
+        loads = self._schedule.take_due(measured, now_ms)
         if loads is None:
             return []
         self._context.metrics.count("load.reports")
--- a/tests/test_load_figure.py
+++ b/tests/test_load_figure.py
@@ -1,8 +1,10 @@
 """The load figure that the acting host publishes while a service is short."""
 
+import itertools
 import unittest
 
 from knapweedshed.codecs import json_text
+from knapweedshed.controllers.load_reports import LoadReports
 from knapweedshed.controllers.messages import AppendRecord
 from knapweedshed.decisions.overload.load_figure import (
     FinishRates,
@@ -208,6 +210,31 @@
         self.assertEqual((load.service, load.priority), ("planner", 1))
         self.assertGreater(load.start_in_ms, 10_000)
 
+    def _measuring_gap_ms(self, measure_ms):
+        """Return the shortest time between measurements that take `measure_ms`."""
+        harness = SchedulingHarness(workers=1)
+        controller, clock = harness.controller, harness.clock
+        reports = LoadReports(controller._context, controller._ledger)
+        times = []
+
+        def measure(dispatcher, now_ms):
+            times.append(now_ms)
+            clock.advance(measure_ms)
+            return ()
+
+        reports._measure = measure
+        for _ in range(50):
+            clock.advance(100)
+            reports.due(controller._dispatcher, clock.now_ms())
+        return min(later - time for time, later in itertools.pairwise(times))
+
+    def test_load_is_measured_at_most_every_500_ms(self):
+        self.assertEqual(self._measuring_gap_ms(0), 500)
+
+    def test_load_is_measured_more_seldom_if_that_is_slow(self):
+        """With 10,000 waiting jobs it takes 200 ms, as long as from tick to tick."""
+        self.assertEqual(self._measuring_gap_ms(400), 1_600)
+
     def test_nothing_is_published_while_there_is_room_or_without_the_policy(self):
         self.assertEqual(self._reports(OverloadPolicies(admission_control=True), 2), [])
         self.assertEqual(self._reports(NO_OVERLOAD_POLICIES, 200), [])
