Drop a hold that comes while one of its worker is in progress

A hold that failed is repeated by a timer. If the list of workers gave the worker another address meanwhile, it was held anew on a new connection, and the hold of the timer was queued behind that one. As each result is followed by a hold, two holds of the worker then followed each other until the end of the term, and each end was handled twice. The same happened if the answer on the old connection was already on its way. A channel now has one hold at most.

The new test failed before (2 sends). test_worker_connections, test_hold_pacing, test_waiting_orders, test_fault_containment: 42 passed.

--- a/knapweedshed/links/worker_connections.py
+++ b/knapweedshed/links/worker_connections.py
@@ -232,17 +232,24 @@
 
 
 class HoldChannel(WorkerChannel):
-    """Sends holds, which renew the worker's leases and wait for runs to end."""
+    """Sends holds, which renew the worker's leases and wait for runs to end.
+
+    Each result is followed by the next hold. A hold that comes while one is in progress
+    is dropped: a worker that is held anew, as its address has changed, may also have a
+    delayed hold under way, and both would go on for good.
+    """
 
     def __init__(self, *args):
         super().__init__(*args)
-        self._waiting = deque()
+        self._next = None
 
     def _add_waiting(self, request):
-        self._waiting.append(request)
+        if self._current is None:
+            self._next = request
 
     def _take_waiting(self):
-        return self._waiting.popleft() if self._waiting else None
+        request, self._next = self._next, None
+        return request
 
     def _encode(self, request):
         """Encode a hold; the first one on a connection acknowledges no ends.
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -5,8 +5,10 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from knapweedshed.actors import tell
+from knapweedshed.context import create_test_context
 from knapweedshed.controllers.work_messages import (
     CloseWorker,
     HoldRequest,
@@ -14,7 +16,7 @@
     OrderRequest,
 )
 from knapweedshed.decisions.tracked_workers import MAX_ANSWER_AGE_MS
-from knapweedshed.links.worker_connections import ANSWER_TIMEOUT_MS
+from knapweedshed.links.worker_connections import ANSWER_TIMEOUT_MS, HoldChannel
 from knapweedshed.links.worker_links import MAX_HOLD_WAIT_MS, hold_wait_ms
 from knapweedshed.models.dispatch_actions import ORDER_DONE, ORDER_UNKNOWN, StopRun
 from knapweedshed.models.outcomes import NoAnswer, NotSent
@@ -225,6 +227,26 @@
         self.assertLess(time.monotonic() - started_s, MAX_FAILURE_S)
 
 
+class HoldChannelTest(unittest.TestCase):
+    def test_hold_that_comes_while_one_is_in_progress_is_dropped(self):
+        """Each answer is followed by a hold: two would follow each other for good."""
+        channel = HoldChannel(
+            create_test_context(),
+            mock.Mock(),
+            JsonWorkerCodec(),
+            entry_at("i-0", "127.0.0.1:1"),
+            mock.Mock(),
+        )
+        channel._connection = mock.Mock(connecting=False)
+        channel._connection.send.return_value = None
+        for _ in range(2):
+            channel.send(HoldRequest("i-0", 1, 0, 0, 0))
+        channel._finish(NoAnswer("no answer"))
+        self.assertEqual(channel._connection.send.call_count, 1)
+        channel.send(HoldRequest("i-0", 1, 0, 0, 0))
+        self.assertEqual(channel._connection.send.call_count, 2)
+
+
 class HoldWaitTest(unittest.TestCase):
     """Holds of many workers are fewer a second, so that a weak link carries them."""
 
