--- a/tests/test_load_figure.py
+++ b/tests/test_load_figure.py
@@ -1,8 +1,10 @@
 """The load figure that the acting host publishes while a service is short."""
 
+import itertools
 import unittest
 
 from knapweedshed.codecs import json_text
+from knapweedshed.controllers.load_reports import LoadReports
 from knapweedshed.controllers.messages import AppendRecord
 from knapweedshed.decisions.overload.load_figure import (
     FinishRates,
@@ -71,6 +73,12 @@
     def test_work_that_is_too_late_is_not_counted(self):
         self.assertFalse(self._is_short([make_waiting(100, due_ms=300)]))
 
+    def test_long_running_work_that_waits_is_no_shortage(self):
+        """It has no end by which its service would have to finish it."""
+        step = make_step(estimate_ms=3_600_000, lasting=True)
+        waiting = make_waiting(1, step=step, due_ms=0)._replace(critical_path_ms=0)
+        self.assertFalse(self._is_short([waiting]))
+
     def test_service_without_workers_is_short(self):
         self.assertTrue(find_shortages([make_waiting()], [], {}, 0))
 
@@ -96,6 +104,19 @@
     def test_start_is_unknown_while_nothing_is_finished(self):
         self.assertEqual(self._measure([make_waiting(4)], {}), {1: -1})
 
+    def test_start_is_unknown_while_higher_priorities_finish_all(self):
+        """0.1 + 0.2 - 0.1 - 0.2 is above 0: all other work would be rejected."""
+        rates = {("planner", 0): 0.1, ("planner", 1): 0.2}
+        starts = self._measure([make_waiting(4, 2)], rates)
+        self.assertEqual(starts[2], -1)
+
+    def test_long_running_work_is_not_waited_for(self):
+        """It has no size: with its estimate, all other work would be rejected."""
+        step = make_step(estimate_ms=3_600_000, lasting=True)
+        lasting = make_waiting(1, step=step, due_ms=0)._replace(critical_path_ms=0)
+        starts = self._measure([lasting], {("planner", 1): 16.0})
+        self.assertEqual(starts, {1: 0})
+
     def test_rates_are_known_only_after_a_while_and_forget_old_ends(self):
         rates = FinishRates(0)
         rates.note_end("planner", 1, 40.0, 1_000)
@@ -182,6 +203,30 @@
         messages = [json_text.loads_message(record.body) for record in records]
         return [item for item in messages if isinstance(item, LoadReported)]
 
+    def test_burst_after_an_idle_time_is_worked_on_before_any_of_it_ends(self):
+        """Jobs that could start after 10 s would start after 504 s by the figure."""
+        harness = SchedulingHarness(
+            workers=4, overload_policies=OverloadPolicies(admission_control=True)
+        )
+        harness.accept(make_job())
+        harness.append(harness.plan())
+        harness.tick(2_500)
+        end = TaskEnd(1, Task("a" * 16, 0, 0, 0), 1, EndKind.DONE)
+        harness.answer_hold("w0", ended=[end])
+        harness.append(harness.appender.take(AppendRecord))
+        wall_ms = harness.clock.wall_ms()
+        burst = make_job("b" * 16, (make_step(200),))
+        harness.accept(burst._replace(accepted_wall_ms=wall_ms))
+        harness.list_workers()
+        harness.append(harness.plan())
+        harness.tick(500)
+        records = harness.appender.take(AppendRecord)
+        messages = [json_text.loads_message(record.body) for record in records]
+        (report,) = [item for item in messages if isinstance(item, LoadReported)]
+        (load,) = report.loads
+        # 32 tasks of 2 s run at a time, and 168 wait.
+        self.assertLess(load.start_in_ms, 2 * 168 / 32 * 2_000 + 1)
+
     def test_shortage_is_published_with_a_time_to_start(self):
         reports = self._reports(OverloadPolicies(admission_control=True), 200)
         self.assertGreaterEqual(len(reports), 2)
@@ -189,6 +234,31 @@
         self.assertEqual((load.service, load.priority), ("planner", 1))
         self.assertGreater(load.start_in_ms, 10_000)
 
+    def _measuring_gap_ms(self, measure_ms):
+        """Return the shortest time between measurements that take `measure_ms`."""
+        harness = SchedulingHarness(workers=1)
+        controller, clock = harness.controller, harness.clock
+        reports = LoadReports(controller._context, controller._ledger)
+        times = []
+
+        def measure(dispatcher, now_ms):
+            times.append(now_ms)
+            clock.advance(measure_ms)
+            return ()
+
+        reports._measure = measure
+        for _ in range(50):
+            clock.advance(100)
+            reports.due(controller._dispatcher, clock.now_ms())
+        return min(later - time for time, later in itertools.pairwise(times))
+
+    def test_load_is_measured_at_most_every_500_ms(self):
+        self.assertEqual(self._measuring_gap_ms(0), 500)
+
+    def test_load_is_measured_more_seldom_if_that_is_slow(self):
+        """With 10,000 waiting jobs it takes 200 ms, as long as from tick to tick."""
+        self.assertEqual(self._measuring_gap_ms(400), 1_600)
+
     def test_nothing_is_published_while_there_is_room_or_without_the_policy(self):
         self.assertEqual(self._reports(OverloadPolicies(admission_control=True), 2), [])
         self.assertEqual(self._reports(NO_OVERLOAD_POLICIES, 200), [])
