Keep a new connection open that gets the descriptor of a closed one

Cause: when the limits close connections, a new one is accepted in the same round of the loop, and the lowest free descriptor is that of a closed one. Events of the closed one (an invalid descriptor, a hang-up) then closed the new one, so a caller's connection ended before its request was read. A connection now ignores them until a round has begun with it; the limits still close it at any time.

The new test fails before (0 connections instead of 1). tests.test_http_server and tests.test_connection_limits: 17 tests, all pass.

--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -162,6 +162,7 @@
         self._guard = server.guard
         self._waiting_since_ms = self._guard.clock.now_ms()
         self._known_key = False
+        self._polled = False
         self._serving = False
         self._answered = False
         self._refused = False
@@ -212,6 +213,7 @@
         Called for each connection in every round, so it repeats the base class's
         conditions instead of calling it: a lookahead of 0 is what is set here.
         """
+        self._polled = True
         if self._serving and not self.requests:
             self._note_answered()
         if self._surplus and self._can_read():
@@ -245,13 +247,19 @@
         self._note_key(self.request)
         self._update_held()
 
+    def close_for_limits(self):
+        """Close, whether or not a round has begun with this connection."""
+        self._polled = True
+        self.handle_close()
+
     def handle_close(self):
         """Close; after a refusal, let the client read it first.
 
         Closing a socket with unread input resets the connection, and the client may
-        lose the refusal. One event may close a connection twice.
+        lose the refusal. One event may close a connection twice. In the round that
+        accepted a connection, an event is that of a closed one with its descriptor.
         """
-        if self.socket is None:
+        if self.socket is None or not self._polled:
             return
         if self.will_close and self._refused and not self._linger_until_ms:
             try:
@@ -266,6 +274,8 @@
 
     def handle_expt(self):
         """Close a connection with urgent data, which would end every wait at once."""
+        if not self._polled:
+            return
         self._guard.count("closed.urgent_data")
         super().handle_close()
 
--- a/knapweedshed/links/connection_guard.py
+++ b/knapweedshed/links/connection_guard.py
@@ -160,7 +160,7 @@
 
     def _close(self, channel, cause):
         self.count(f"closed.{cause}")
-        channel.handle_close()
+        channel.close_for_limits()
 
     def count(self, cause):
         """Count a connection that was closed, or a request refused, by its cause."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,8 +5,17 @@
 import time
 import unittest
 
+from waitress import wasyncore
+from waitress.adjustments import Adjustments
+from waitress.task import ThreadedTaskDispatcher
+
 from knapweedshed.decisions.overload.connection_limits import ListenerLimits
-from knapweedshed.links.connection_guard import Listener, ListenerConfiguration
+from knapweedshed.links.bounded_http import BoundedServer
+from knapweedshed.links.connection_guard import (
+    ConnectionGuard,
+    Listener,
+    ListenerConfiguration,
+)
 from knapweedshed.links.http_server import HttpResponse, HttpServer
 from knapweedshed.metrics import LocalMetrics
 from tests.host_harness import wait_until
@@ -120,5 +129,37 @@
         self.assertIn(b"413", self.exchange(b"x", connection))
 
 
+class BoundedServerTest(unittest.TestCase):
+    """A server of which each round is run by the test."""
+
+    def setUp(self):
+        limits = ListenerLimits(max_connections=1, unfinished_ms=0)
+        self.guard = ConnectionGuard(Listener(limits=limits), SILENT_LOGGER)
+        self.map = {}
+        self.port = free_port()
+        adjustments = Adjustments(listen=f"127.0.0.1:{self.port}")
+        self.server = BoundedServer(
+            self.guard,
+            None,
+            self.map,
+            ThreadedTaskDispatcher(),
+            adjustments,
+            adjustments.listen[0],
+        )
+        self.addCleanup(wasyncore.close_all, self.map, True)
+
+    def connect(self):
+        connection = socket.create_connection(("127.0.0.1", self.port), TIMEOUT_S)
+        self.addCleanup(connection.close)
+
+    def test_event_of_a_closed_connection_doesnt_close_a_new_one(self):
+        self.connect()
+        wasyncore.poll2(0, self.map)
+        self.connect()
+        time.sleep(0.2)  # until the limits are checked again
+        wasyncore.poll2(0, self.map)  # closes the first, accepts the second
+        self.assertEqual(len(self.server.active_channels), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
