Don't spin while no descriptor is left to accept a connection

Cause: without a descriptor, and with no connection that may be closed (all are being served, or the listener has none), the listening socket stayed in the poll set. It was ready in every round, so the server's thread ran without a pause. The listener now leaves it out for 100 ms, or until the loop's next round after that (1 s at most).

--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -28,6 +28,7 @@
 CONNECTION_BYTES = 4_096  # a channel without a request; 3 KB measured
 HEADER_ENTRY_BYTES = 128  # of a parsed header beside its text; 85 measured
 LINGER_MS = 1_000
+ACCEPT_PAUSE_MS = 100  # while no descriptor is left and none can be freed
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 
 _numbers = itertools.count()
@@ -329,6 +330,7 @@
     def __init__(self, guard, application, map, dispatcher, adj, sockinfo):
         self.guard = guard
         self._accepted = False
+        self._accept_again_ms = 0
         super().__init__(
             application, map, dispatcher=dispatcher, adj=adj, sockinfo=sockinfo
         )
@@ -340,7 +342,8 @@
         self.adj.max_request_body_size = max(
             CHUNK_OVERHEAD_FACTOR * limits.max_body_bytes, MIN_SENT_BODY_BYTES
         )
-        return super().readable()
+        is_accepting = super().readable()
+        return is_accepting and self.guard.clock.now_ms() >= self._accept_again_ms
 
     def handle_accept(self):
         """Accept some of the connections that are waiting."""
@@ -357,11 +360,16 @@
             accepted = super().accept()
         except OSError as error:
             if error.errno in NO_DESCRIPTOR_ERRORS:
-                self.guard.close_for_descriptor()
+                self._make_room()
             return None
         self._accepted = accepted is not None
         return accepted
 
+    def _make_room(self):
+        """Free a descriptor; if none can be, don't poll the waiting connections."""
+        if not self.guard.close_for_descriptor():
+            self._accept_again_ms = self.guard.clock.now_ms() + ACCEPT_PAUSE_MS
+
     def handle_error(self):
         """Log an error; the base class would stop listening for good."""
         self.logger.exception("connection not accepted")
--- a/knapweedshed/links/connection_guard.py
+++ b/knapweedshed/links/connection_guard.py
@@ -90,8 +90,8 @@
             self._held_bytes -= channel.held_bytes
 
     def close_for_descriptor(self):
-        """Close a connection, as the process has no descriptor left to accept one."""
-        self._close_one(choose_for_room, "descriptors")
+        """Close a connection, as no descriptor is left; return whether one was."""
+        return self._close_one(choose_for_room, "descriptors")
 
     def is_known_key(self, find_header):
         """Return whether a request has the API key of an organisation."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,9 +1,11 @@
 """The HTTP server in one process: what it refuses, closes and goes on with."""
 
+import errno
 import logging
 import socket
 import time
 import unittest
+from unittest import mock
 
 from waitress import wasyncore
 from waitress.adjustments import Adjustments
@@ -160,6 +162,17 @@
         wasyncore.poll2(0, self.map)  # closes the first, accepts the second
         self.assertEqual(len(self.server.active_channels), 1)
 
+    def test_server_without_descriptors_pauses_instead_of_spinning(self):
+        self.connect()
+        no_descriptor = OSError(errno.EMFILE, "no descriptor left")
+        with mock.patch.object(
+            wasyncore.dispatcher, "accept", side_effect=no_descriptor
+        ):
+            wasyncore.poll2(0, self.map)
+        self.assertFalse(self.server.readable())
+        time.sleep(0.2)
+        self.assertTrue(self.server.readable())
+
 
 if __name__ == "__main__":
     unittest.main()
