Cut no request and no answer that makes progress in a graceful stop

Cause, in HttpServer.close: a connection counted as idle while its request was half read, and was closed without an answer. A refusal was reset before its client had read it. And a request that the server's thread took in between the check and the closing was run, but its answer was lost.

An unfinished request now has 1 s, an answer goes on until its client has taken nothing for 1 s, a refusal keeps its 1 s, and the check is made under the lock on requests. The whole wait remains 5 s at the most. For the limits, a request counts as served until the server's thread has noted its end, as the time of the last progress is only then that of the answer.

--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -175,14 +175,18 @@
         self._guard.add(self)
 
     def state(self):
-        """Return the `ConnectionState` that decisions about it are based on."""
+        """Return the `ConnectionState` that decisions about it are based on.
+
+        A request counts as served until the server's thread has noticed its end: until
+        then the time of the last progress isn't that of its answer.
+        """
         unread = bool(self.total_outbufs_len)
         return ConnectionState(
             self.number,
             self.held_bytes,
             self._guard.clock.now_ms() - self._waiting_since_ms,
             self._known_key,
-            bool(self.requests),
+            self._serving,
             unread and not self._refused,
             self._answered and self.request is None and not unread,
         )
@@ -248,6 +252,23 @@
         self._note_key(self.request)
         self._update_held()
 
+    def close_if_idle(self, max_unread_ms):
+        """Close between two requests, as the server closes; for any thread.
+
+        An unfinished request, and an unread answer of which the client has taken
+        nothing for `max_unread_ms`, are given up only if that isn't None.
+        """
+        with self.requests_lock:  # a request that is whole is in the list afterwards
+            if self.requests or self._serving or self._linger_until_ms:
+                return
+            is_unfinished = self.request is not None or bool(self._surplus)
+            if not self.total_outbufs_len:
+                if not is_unfinished or max_unread_ms is not None:
+                    self.close_when_flushed = True
+            elif max_unread_ms is not None:
+                unread_ms = self._guard.clock.now_ms() - self._waiting_since_ms
+                self.will_close = self.will_close or unread_ms > max_unread_ms
+
     def close_for_limits(self):
         """Close, whether or not a round has begun with this connection."""
         self._polled = True
@@ -300,9 +321,9 @@
         )
 
     def _note_answered(self):
-        self._serving = False
-        self._answered = True
         self._waiting_since_ms = self._guard.clock.now_ms()
+        self._answered = True
+        self._serving = False
         self._update_held()
 
     def _note_key(self, request):
--- a/knapweedshed/links/http_server.py
+++ b/knapweedshed/links/http_server.py
@@ -21,7 +21,10 @@
 CLOSE_POLL_PERIOD_MS = 50
 ERROR_PAUSE_MS = 50
 MAX_CLOSE_POLLS = 100
-UNREAD_CLOSE_POLLS = 20  # clients that haven't read their answer by then are closed
+# From then on clients are closed that haven't sent their request, or take no more of
+# their answer: 400 ms are needed for a body of 256 KB at 5 Mbit/s.
+UNREAD_CLOSE_POLLS = 20
+MAX_UNREAD_MS = UNREAD_CLOSE_POLLS * CLOSE_POLL_PERIOD_MS
 TRUSTED_BODY_BYTES = 128 * 1024 * 1024
 # For servers whose clients are programs of this project.
 TRUSTED_LIMITS = ListenerLimits(
@@ -136,7 +139,8 @@
             server.accepting = False
         pause_event = threading.Event()
         for polls in range(MAX_CLOSE_POLLS):
-            if not self._close_idle_connections(polls >= UNREAD_CLOSE_POLLS):
+            is_patient = polls < UNREAD_CLOSE_POLLS
+            if not self._close_idle_connections(None if is_patient else MAX_UNREAD_MS):
                 break
             pause_event.wait(CLOSE_POLL_PERIOD_MS / MS_PER_SECOND)
         self._closed_event.set()
@@ -144,21 +148,13 @@
             server.close()
         self._thread.join(timeout=2)
 
-    def _close_idle_connections(self, with_unread):
-        """Close connections without a pending request; return how many were open.
-
-        `with_unread` includes those whose last answer the client hasn't read.
-        """
+    def _close_idle_connections(self, max_unread_ms):
+        """Close connections without a request; return how many were open."""
         count = 0
         for server in self._servers:
             channels = list(server.active_channels.values())
             for channel in channels:
-                if channel.requests:
-                    continue
-                if not channel.total_outbufs_len:
-                    channel.close_when_flushed = True
-                elif with_unread:
-                    channel.will_close = True
+                channel.close_if_idle(max_unread_ms)
             if channels:
                 server.pull_trigger()
             count += len(channels)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import errno
 import logging
 import socket
+import threading
 import time
 import unittest
 from unittest import mock
@@ -130,6 +131,60 @@
             connection.sendall(b"x" * 1_000)
         self.assertIn(b"413", self.exchange(b"x", connection))
 
+    def close_in_thread(self):
+        closing = threading.Thread(target=self.server.close)
+        closing.start()
+        self.addCleanup(closing.join)
+
+    def test_request_that_arrives_while_the_server_closes_is_answered(self):
+        connection = self.connect()
+        connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n12")
+        time.sleep(0.2)  # for the first half to be read
+        self.close_in_thread()
+        time.sleep(0.2)
+        self.assertIn(b"200", self.exchange(b"34", connection))
+
+    def test_refusal_is_read_while_the_server_closes(self):
+        connection = self.connect()
+        connection.sendall(b"POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n")
+        time.sleep(0.2)  # for the refusal to be sent
+        self.close_in_thread()
+        for _ in range(3):
+            time.sleep(0.1)  # for a reset to arrive
+            connection.sendall(b"x" * 1_000)
+        self.assertIn(b"413", self.exchange(b"x", connection))
+
+    def test_answer_that_is_read_slowly_is_complete_when_the_server_closes(self):
+        answer = bytes(40_000_000)
+        self.server.close()
+        self.handle = lambda request: HttpResponse(200, answer)
+        self.port = free_port()
+        self.start_server(ListenerLimits())
+        connection = self.connect()
+        connection.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        received = len(connection.recv(1_000))
+        self.close_in_thread()
+        for _ in range(15):
+            time.sleep(0.1)
+            received += len(connection.recv(1_000_000))
+        while data := connection.recv(1_000_000):
+            received += len(data)
+        self.assertGreater(received, len(answer))
+
+    def test_connection_isnt_closed_as_idle_while_a_request_is_taken_in(self):
+        self.connect()
+        channels = self.server._servers[0].active_channels
+        self.assertTrue(wait_until(lambda: channels, TIMEOUT_S))
+        (channel,) = channels.values()
+        with channel.requests_lock:
+            self.close_in_thread()
+            time.sleep(0.2)
+            channel.requests.append(None)
+        time.sleep(0.2)
+        closed = channel.close_when_flushed or channel.will_close
+        channel.requests.clear()
+        self.assertFalse(closed)
+
 
 class BoundedServerTest(unittest.TestCase):
     """A server of which each round is run by the test."""
