Begin no further request on a connection once the server closes

Now the request being served is the last one of its connection. An unread answer is given up after 1 s again, also if its client takes some of it: a host has 6 s for its whole stop, and a crowd that reads a little could use them up.

--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -165,6 +165,7 @@
         self._known_key = False
         self._polled = False
         self._serving = False
+        self._is_last = False
         self._answered = False
         self._refused = False
         self._linger_until_ms = 0
@@ -252,22 +253,21 @@
         self._note_key(self.request)
         self._update_held()
 
-    def close_if_idle(self, max_unread_ms):
+    def close_if_idle(self, with_unfinished):
         """Close between two requests, as the server closes; for any thread.
 
-        An unfinished request, and an unread answer of which the client has taken
-        nothing for `max_unread_ms`, are given up only if that isn't None.
+        No request is begun after the one that is being served. `with_unfinished` gives
+        up an unfinished request, and an answer that the client hasn't read.
         """
         with self.requests_lock:  # a request that is whole is in the list afterwards
-            if self.requests or self._serving or self._linger_until_ms:
+            if self.requests or self._serving:
+                self._is_last = not self._refused
+            elif self._linger_until_ms:
                 return
-            is_unfinished = self.request is not None or bool(self._surplus)
-            if not self.total_outbufs_len:
-                if not is_unfinished or max_unread_ms is not None:
-                    self.close_when_flushed = True
-            elif max_unread_ms is not None:
-                unread_ms = self._guard.clock.now_ms() - self._waiting_since_ms
-                self.will_close = self.will_close or unread_ms > max_unread_ms
+            elif self.total_outbufs_len:
+                self.will_close = self.will_close or with_unfinished
+            elif with_unfinished or self.request is None:
+                self.close_when_flushed = True
 
     def close_for_limits(self):
         """Close, whether or not a round has begun with this connection."""
@@ -314,7 +314,8 @@
 
     def _can_read(self):
         return not (
-            self.requests
+            self._is_last
+            or self.requests
             or self.total_outbufs_len
             or self.will_close
             or self.close_when_flushed
--- a/knapweedshed/links/http_server.py
+++ b/knapweedshed/links/http_server.py
@@ -21,10 +21,9 @@
 CLOSE_POLL_PERIOD_MS = 50
 ERROR_PAUSE_MS = 50
 MAX_CLOSE_POLLS = 100
-# From then on clients are closed that haven't sent their request, or take no more of
-# their answer: 400 ms are needed for a body of 256 KB at 5 Mbit/s.
-UNREAD_CLOSE_POLLS = 20
-MAX_UNREAD_MS = UNREAD_CLOSE_POLLS * CLOSE_POLL_PERIOD_MS
+# Clients that haven't sent their request or read their answer by then are closed: a
+# body of 256 KB takes 400 ms at 5 Mbit/s, and a host has 6 s for its whole stop.
+UNFINISHED_CLOSE_POLLS = 20
 TRUSTED_BODY_BYTES = 128 * 1024 * 1024
 # For servers whose clients are programs of this project.
 TRUSTED_LIMITS = ListenerLimits(
@@ -139,8 +138,7 @@
             server.accepting = False
         pause_event = threading.Event()
         for polls in range(MAX_CLOSE_POLLS):
-            is_patient = polls < UNREAD_CLOSE_POLLS
-            if not self._close_idle_connections(None if is_patient else MAX_UNREAD_MS):
+            if not self._close_idle_connections(polls >= UNFINISHED_CLOSE_POLLS):
                 break
             pause_event.wait(CLOSE_POLL_PERIOD_MS / MS_PER_SECOND)
         self._closed_event.set()
@@ -148,13 +146,13 @@
             server.close()
         self._thread.join(timeout=2)
 
-    def _close_idle_connections(self, max_unread_ms):
+    def _close_idle_connections(self, with_unfinished):
         """Close connections without a request; return how many were open."""
         count = 0
         for server in self._servers:
             channels = list(server.active_channels.values())
             for channel in channels:
-                channel.close_if_idle(max_unread_ms)
+                channel.close_if_idle(with_unfinished)
             if channels:
                 server.pull_trigger()
             count += len(channels)
