Don't poll for room to send while a thread writes its answer

Cause: the loop polled a connection for room to send as soon as a program's thread had put a part of its answer into the buffer. There was room, but the thread held the lock on the buffer, so the loop came round at once, again and again, and the thread waited for the interpreter's lock meanwhile.

--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -228,6 +228,17 @@
             self._update_held()
         return self._can_read()
 
+    def writable(self):
+        """Return whether to write what a thread of the program has left to write.
+
+        A thread that is writing holds the lock on the answer: the loop would spin
+        beside it. It wakes the loop when it has ended, or waits for the buffer.
+        """
+        unsent_bytes = self.total_outbufs_len
+        if self.requests and unsent_bytes <= self.adj.outbuf_high_watermark:
+            unsent_bytes = 0
+        return bool(unsent_bytes or self.will_close or self.close_when_flushed)
+
     def handle_read(self):
         """Read once, and report what the connection holds now.
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -215,6 +215,17 @@
         wasyncore.poll2(0, self.map)  # closes the first, accepts the second
         self.assertEqual(len(self.server.active_channels), 1)
 
+    def test_answer_that_a_thread_is_writing_isnt_polled_for(self):
+        # The loop would spin until the thread gives the lock on the answer back.
+        self.connect()
+        wasyncore.poll2(0, self.map)
+        (channel,) = self.server.active_channels.values()
+        channel.total_outbufs_len = 1
+        channel.requests.append(None)
+        self.assertFalse(channel.writable())
+        channel.requests.clear()
+        self.assertTrue(channel.writable())
+
     def test_server_without_descriptors_pauses_instead_of_spinning(self):
         self.connect()
         no_descriptor = OSError(errno.EMFILE, "no descriptor left")
