--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -28,6 +28,7 @@
 CONNECTION_BYTES = 4_096  # a channel without a request; 3 KB measured
 HEADER_ENTRY_BYTES = 128  # of a parsed header beside its text; 85 measured
 LINGER_MS = 1_000
+ACCEPT_PAUSE_MS = 100  # while no descriptor is left and none can be freed
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 
 _numbers = itertools.count()
@@ -162,7 +163,9 @@
         self._guard = server.guard
         self._waiting_since_ms = self._guard.clock.now_ms()
         self._known_key = False
+        self._polled = False
         self._serving = False
+        self._is_last = False
         self._answered = False
         self._refused = False
         self._linger_until_ms = 0
@@ -173,14 +176,18 @@
         self._guard.add(self)
 
     def state(self):
-        """Return the `ConnectionState` that decisions about it are based on."""
+        """Return the `ConnectionState` that decisions about it are based on.
+
+        A request counts as served until the server's thread has noticed its end: until
+        then the time of the last progress isn't that of its answer.
+        """
         unread = bool(self.total_outbufs_len)
         return ConnectionState(
             self.number,
             self.held_bytes,
             self._guard.clock.now_ms() - self._waiting_since_ms,
             self._known_key,
-            bool(self.requests),
+            self._serving,
             unread and not self._refused,
             self._answered and self.request is None and not unread,
         )
@@ -212,6 +219,7 @@
         Called for each connection in every round, so it repeats the base class's
         conditions instead of calling it: a lookahead of 0 is what is set here.
         """
+        self._polled = True
         if self._serving and not self.requests:
             self._note_answered()
         if self._surplus and self._can_read():
@@ -220,6 +228,17 @@
             self._update_held()
         return self._can_read()
 
+    def writable(self):
+        """Return whether to write what a thread of the program has left to write.
+
+        A thread that is writing holds the lock on the answer: the loop would spin
+        beside it. It wakes the loop when it has ended, or waits for the buffer.
+        """
+        unsent_bytes = self.total_outbufs_len
+        if self.requests and unsent_bytes <= self.adj.outbuf_high_watermark:
+            unsent_bytes = 0
+        return bool(unsent_bytes or self.will_close or self.close_when_flushed)
+
     def handle_read(self):
         """Read once, and report what the connection holds now.
 
@@ -245,13 +264,35 @@
         self._note_key(self.request)
         self._update_held()
 
+    def close_if_idle(self, with_unfinished):
+        """Close between two requests, as the server closes; for any thread.
+
+        No request is begun after the one that is being served. `with_unfinished` gives
+        up an unfinished request, and an answer that the client hasn't read.
+        """
+        with self.requests_lock:  # a request that is whole is in the list afterwards
+            if self.requests or self._serving:
+                self._is_last = not self._refused
+            elif self._linger_until_ms:
+                return
+            elif self.total_outbufs_len:
+                self.will_close = self.will_close or with_unfinished
+            elif with_unfinished or self.request is None:
+                self.close_when_flushed = True
+
+    def close_for_limits(self):
+        """Close, whether or not a round has begun with this connection."""
+        self._polled = True
+        self.handle_close()
+
     def handle_close(self):
         """Close; after a refusal, let the client read it first.
 
         Closing a socket with unread input resets the connection, and the client may
-        lose the refusal. One event may close a connection twice.
+        lose the refusal. One event may close a connection twice. In the round that
+        accepted a connection, an event is that of a closed one with its descriptor.
         """
-        if self.socket is None:
+        if self.socket is None or not self._polled:
             return
         if self.will_close and self._refused and not self._linger_until_ms:
             try:
@@ -266,6 +307,8 @@
 
     def handle_expt(self):
         """Close a connection with urgent data, which would end every wait at once."""
+        if not self._polled:
+            return
         self._guard.count("closed.urgent_data")
         super().handle_close()
 
@@ -282,16 +325,17 @@
 
     def _can_read(self):
         return not (
-            self.requests
+            self._is_last
+            or self.requests
             or self.total_outbufs_len
             or self.will_close
             or self.close_when_flushed
         )
 
     def _note_answered(self):
-        self._serving = False
-        self._answered = True
         self._waiting_since_ms = self._guard.clock.now_ms()
+        self._answered = True
+        self._serving = False
         self._update_held()
 
     def _note_key(self, request):
@@ -319,6 +363,7 @@
     def __init__(self, guard, application, map, dispatcher, adj, sockinfo):
         self.guard = guard
         self._accepted = False
+        self._accept_again_ms = 0
         super().__init__(
             application, map, dispatcher=dispatcher, adj=adj, sockinfo=sockinfo
         )
@@ -330,7 +375,8 @@
         self.adj.max_request_body_size = max(
             CHUNK_OVERHEAD_FACTOR * limits.max_body_bytes, MIN_SENT_BODY_BYTES
         )
-        return super().readable()
+        is_accepting = super().readable()
+        return is_accepting and self.guard.clock.now_ms() >= self._accept_again_ms
 
     def handle_accept(self):
         """Accept some of the connections that are waiting."""
@@ -347,11 +393,16 @@
             accepted = super().accept()
         except OSError as error:
             if error.errno in NO_DESCRIPTOR_ERRORS:
-                self.guard.close_for_descriptor()
+                self._make_room()
             return None
         self._accepted = accepted is not None
         return accepted
 
+    def _make_room(self):
+        """Free a descriptor; if none can be, don't poll the waiting connections."""
+        if not self.guard.close_for_descriptor():
+            self._accept_again_ms = self.guard.clock.now_ms() + ACCEPT_PAUSE_MS
+
     def handle_error(self):
         """Log an error; the base class would stop listening for good."""
         self.logger.exception("connection not accepted")
--- a/knapweedshed/links/connection_guard.py
+++ b/knapweedshed/links/connection_guard.py
@@ -90,8 +90,8 @@
             self._held_bytes -= channel.held_bytes
 
     def close_for_descriptor(self):
-        """Close a connection, as the process has no descriptor left to accept one."""
-        self._close_one(choose_for_room, "descriptors")
+        """Close a connection, as no descriptor is left; return whether one was."""
+        return self._close_one(choose_for_room, "descriptors")
 
     def is_known_key(self, find_header):
         """Return whether a request has the API key of an organisation."""
@@ -160,7 +160,7 @@
 
     def _close(self, channel, cause):
         self.count(f"closed.{cause}")
-        channel.handle_close()
+        channel.close_for_limits()
 
     def count(self, cause):
         """Count a connection that was closed, or a request refused, by its cause."""
