Forget which workers a unit avoided once that time is over

Cause: each unit that failed, or whose worker couldn't be reached, kept an entry for the whole term, and with suspect avoidance each planning pass copied them all. Entries are now pruned when there are 1,000, and again when their number has doubled.

--- a/knapweedshed/decisions/failure_attribution.py
+++ b/knapweedshed/decisions/failure_attribution.py
@@ -17,6 +17,7 @@
 # shows that neither the worker nor the unit fails it systematically.
 STEADY_RUN_MS = 64_000
 FAILED_WORKER_AVOIDANCE_MS = 3_000  # how long a unit avoids a worker that failed it
+MIN_PRUNED_COUNT = 1_000  # units that avoid a worker, before any is forgotten
 
 
 class FailureAttribution:
@@ -32,6 +33,7 @@
         self._unit_runs = unit_runs
         self._failed_runs = {}  # by unit, {run: worker id} of its failures in a row
         self._avoided_workers = {}
+        self._prune_at_count = MIN_PRUNED_COUNT
         self._suspects = SuspectWorkers(ledger, workers)
         self._avoids_suspects = policies.suspect_avoidance
 
@@ -44,6 +46,8 @@
     def avoid(self, task, worker_id, now_ms):
         """Run a unit elsewhere next, so that a faulty worker fails it only once."""
         if self._ledger.has_task(task):
+            if len(self._avoided_workers) >= self._prune_at_count:
+                self._forget_avoided_workers(now_ms)
             avoided_until_ms = self._avoided_workers.setdefault(self._unit_of(task), {})
             avoided_until_ms[worker_id] = now_ms + FAILED_WORKER_AVOIDANCE_MS
 
@@ -98,6 +102,19 @@
         latest = sorted((run, worker_id) for worker_id, run in by_worker.items())
         self._failed_runs[unit] = dict(latest[-WORKERS_TO_CLEAR_COUNT:])
 
+    def _forget_avoided_workers(self, now_ms):
+        """Forget the units that avoid no worker any more.
+
+        Done again once twice as many units are left, so that many failures at a time
+        don't cost a pass each.
+        """
+        self._avoided_workers = {
+            unit: avoided_until_ms
+            for unit, avoided_until_ms in self._avoided_workers.items()
+            if max(avoided_until_ms.values()) > now_ms
+        }
+        self._prune_at_count = max(MIN_PRUNED_COUNT, 2 * len(self._avoided_workers))
+
     def _forget_ended_jobs(self):
         self._failed_runs = {
             unit: failed_runs
--- a/tests/test_suspect_workers.py
+++ b/tests/test_suspect_workers.py
@@ -9,6 +9,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from knapweedshed.decisions.failure_attribution import (
+    FAILED_WORKER_AVOIDANCE_MS,
+    MIN_PRUNED_COUNT,
+)
 from knapweedshed.decisions.overload.suspect_workers import SUSPICION_MS
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES, OverloadPolicies
 from knapweedshed.models.work import EndKind
@@ -40,6 +44,21 @@
 
 
 class SuspectWorkersTest(unittest.TestCase):
+    def test_avoided_workers_of_units_are_forgotten_after_their_time(self):
+        # Kept for a whole term, each unit that ever failed would take memory.
+        harness = make_harness(NO_OVERLOAD_POLICIES)
+        attribution = harness.dispatcher._failure_attribution
+        task = harness.started[0].task
+        job = make_job("c" * 16, steps=(make_step(3 * MIN_PRUNED_COUNT),))
+        harness.accept(job)
+        for index in range(3 * MIN_PRUNED_COUNT):
+            now_ms = index * FAILED_WORKER_AVOIDANCE_MS
+            attribution.avoid(
+                task._replace(job_id=job.job_id, index=index), "w1", now_ms
+            )
+        avoided = attribution.avoided_workers((), now_ms)
+        self.assertLessEqual(len(avoided), MIN_PRUNED_COUNT)
+
     def test_gang_does_not_start_on_a_worker_whose_last_run_failed(self):
         workers = start_gang(make_harness())
         self.assertEqual(len(workers), 2)
