Let go of the runs of jobs that the ledger has forgotten

A host that takes the role over adopts the runs of all jobs in its ledger, cancelled and failed ones included. With 5,000 ended jobs, each further end makes the ledger forget the oldest. If a worker that had run it hadn't answered yet, each planning pass failed with a KeyError, and so did each answer of that worker and each measurement of the load at a tick; the run could not be removed, so nothing was started until the end of the term.

The run is now dropped from the runs by unit when its job is forgotten, and stopped if it isn't yet. Its tasks stay assigned to their workers until they are certain to have ended, and are stopped when a worker lists them.

--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -42,7 +42,7 @@
     needs_recording,
     unchanged_workers,
 )
-from knapweedshed.decisions.unit_runs import UnitRun
+from knapweedshed.decisions.unit_runs import UnitRun, runs_of_forgotten_jobs
 from knapweedshed.decisions.units import ready_units, step_of
 from knapweedshed.decisions.unrecorded_ends import UnrecordedEnds
 from knapweedshed.decisions.unsettled_launches import UnsettledLaunches
@@ -256,6 +256,14 @@
             for unit, unit_run in list(self._unit_runs.items()):
                 if unit.job_id == job_id and not unit_run.ending:
                     orders.extend(self._stop_unit_run(unit, cause, now_ms))
+        for unit in runs_of_forgotten_jobs(self._unit_runs, self._ledger):
+            if not self._unit_runs[unit].ending:
+                cause = cause_of_ended_job(None)
+                orders.extend(self._stop_unit_run(unit, cause, now_ms))
+            if self._unit_runs[unit].launched:
+                del self._unit_runs[unit]
+            else:
+                self._discard_unit_run(unit)
         return orders
 
     def confirm_ends(self, ends):
@@ -570,7 +578,8 @@
 
     def _units_with_unrecorded_ends(self):
         """Return the units with an end that a worker listed and the log lacks."""
-        return {self._unit_of(task) for task in self._unrecorded_ends.tasks()}
+        tasks = filter(self._ledger.has_task, self._unrecorded_ends.tasks())
+        return {self._unit_of(task) for task in tasks}
 
     def _units_found_running(self):
         """Return the units with a run that has no record and may still exist."""
@@ -677,7 +686,8 @@
         assigned_run = worker.assigned_runs.get(key)
         if assigned_run is None or assigned_run.phase != RunPhase.RUNNING:
             return []
-        unit_run = self._unit_runs.get(self._unit_of(key[0]))
+        unit = self._unit_of(key[0]) if self._ledger.has_task(key[0]) else None
+        unit_run = self._unit_runs.get(unit)
         if unit_run is not None and unit_run.run == key[1] and not unit_run.ending:
             return []
         cause = cause_of_ended_job(self._ledger.jobs.get(key[0].job_id))
--- a/knapweedshed/decisions/unit_runs.py
+++ b/knapweedshed/decisions/unit_runs.py
@@ -43,3 +43,12 @@
     launched: bool
     workers: tuple[str, ...] = ()
     adopted: bool = False
+
+
+def runs_of_forgotten_jobs(unit_runs, ledger):
+    """Return the units that run, or may run, of jobs that the ledger has forgotten.
+
+    It keeps a limited number of ended jobs. Their workers still list the tasks; what
+    plans read of a unit's run isn't known any more.
+    """
+    return [unit for unit in unit_runs if unit.job_id not in ledger.jobs]
