Count work that waits when a shortage ends as waiting, not as served

When a service was no longer short, all of its waiting work counted as served in the shares that protect the size classes, and as arrived once more when the next shortage began. A class whose jobs waited through several shortages got a share near 1 and no turns. Work now counts as served once it waits no more, and as arrived once.

Three new tests failed before (20 instead of 0 or 1 served, 40 instead of 20 arrived). test_load_shedding with its floors: 14 passed.

--- a/knapweedshed/decisions/overload/shedding.py
+++ b/knapweedshed/decisions/overload/shedding.py
@@ -83,6 +83,7 @@
         self._found_ms = {}
         self._checked_ms = None
         self._candidates = {}
+        self._unstarted = {}
         self._turns = frozenset()
         self._last_start_ms = {}
         self._served_shares = ServedShares()
@@ -99,7 +100,8 @@
             self._checked_ms = now_ms
             self._update_shortages(waiting_steps, planning_input)
         candidates = self._find_candidates(waiting_steps, planning_input)
-        self._note_changes(candidates, now_ms)
+        if candidates or self._unstarted:
+            self._note_changes(candidates, waiting_steps, now_ms)
         self._candidates = candidates
         self._turns = self._find_turns(now_ms)
 
@@ -150,23 +152,32 @@
             for waiting in affected
         }
 
-    def _note_changes(self, candidates, now_ms):
-        """Note which work has arrived, and which has started, since the last pass."""
+    def _note_changes(self, candidates, waiting_steps, now_ms):
+        """Note which work has arrived, and which has started, since the last pass.
+
+        What still waits when a shortage ends is not served, and has arrived already
+        when the next one begins.
+        """
         if not candidates:
             self._last_start_ms = {}
         for key, candidate in candidates.items():
-            if key not in self._candidates:
+            if key not in self._unstarted:
                 self._served_shares.note_arrival(candidate.queue, candidate.size_class)
-        for key, before in self._candidates.items():
-            now = candidates.get(key)
-            if now and len(now.waiting.units) >= len(before.waiting.units):
+        waiting_by_key = {waiting.units[0][:3]: waiting for waiting in waiting_steps}
+        unstarted = dict(candidates)
+        for key, before in self._unstarted.items():
+            waiting = waiting_by_key.get(key)
+            if waiting and key not in candidates:
+                unstarted[key] = before._replace(waiting=waiting)
+            if waiting and len(waiting.units) >= len(before.waiting.units):
                 continue
             for group in before.groups:
                 self._last_start_ms[group] = now_ms
-            if now is None:
+            if waiting is None:
                 self._served_shares.note_served(
                     before.queue, before.size_class, _SERVED_SHARES[before.lateness]
                 )
+        self._unstarted = unstarted
 
     def _find_turns(self, now_ms):
         """Return the keys of the steps whose turn it is."""
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -199,6 +199,43 @@
             self.assertEqual(bool(room._policy.shortages), is_short)
 
 
+class ServedCountTest(unittest.TestCase):
+    """Size classes that wait through several shortages would count as served."""
+
+    def setUp(self):
+        self.policy = LoadShedding()
+        self.room = Room(1, self.policy)
+        self.room.accept(*(make_queue_job(n, "batch", 8_000, 0) for n in range(20)))
+        self.room.ordered()
+        self.assertTrue(self.policy.shortages)
+        self.served = self.policy._served_shares._served
+        self.arrived = self.policy._served_shares._arrived
+
+    def order_without_shortage(self):
+        self.policy._shortages = self.policy._found_ms = {}
+        self.policy._update_shortages = lambda waiting_steps, planning_input: None
+        self.room.ordered()
+        self.assertFalse(self.policy.shortages)
+
+    def test_job_that_waits_when_a_shortage_ends_is_not_served(self):
+        self.order_without_shortage()
+        self.assertEqual(self.served, {})
+
+    def test_job_that_waits_in_the_next_shortage_arrives_only_once(self):
+        self.order_without_shortage()
+        del self.policy._update_shortages
+        self.policy._checked_ms = None
+        self.room.ordered()
+        self.assertTrue(self.policy.shortages)
+        self.assertEqual(self.arrived["batch", None], 20)
+
+    def test_job_that_starts_after_the_shortage_is_served(self):
+        self.order_without_shortage()
+        self.room.ledger.open_jobs.pop(f"{0:016x}")
+        self.room.ordered()
+        self.assertEqual(self.served["batch", None], 1)
+
+
 class FloorTest(unittest.TestCase):
     """Large jobs and small organisations would never start."""
 
