--- a/knapweedshed/decisions/failure_attribution.py
+++ b/knapweedshed/decisions/failure_attribution.py
@@ -39,11 +39,7 @@
 
     def avoided_workers(self, units, now_ms):
         """Return {unit: {worker id: until when it avoids the worker}}."""
-        self._avoided_workers = {
-            unit: avoided_until_ms
-            for unit, avoided_until_ms in self._avoided_workers.items()
-            if max(avoided_until_ms.values()) > now_ms
-        }
+        self._forget_avoided_workers(now_ms)
         if not self._avoids_suspects:
             return self._avoided_workers
         return self._suspects.extend(self._avoided_workers, units, now_ms)
