--- a/knapweedshed/decisions/cold_workers.py
+++ b/knapweedshed/decisions/cold_workers.py
@@ -4,7 +4,7 @@
 attract work, but run slower than learned until they are warm.
 """
 
-# Below the speed that any work aims at, so that cold workers are chosen last.
+# Below the speed that any work aims at, so that placement takes cold workers last.
 COLD_SPEED_RATIO = 0.01
 
 
--- a/knapweedshed/links/bounded_http.py
+++ b/knapweedshed/links/bounded_http.py
@@ -25,8 +25,8 @@
 # A body in chunks of one byte is sent as six bytes for each.
 CHUNK_OVERHEAD_FACTOR = 8
 MIN_SENT_BODY_BYTES = 65_536  # so that a small body may have trailers
-CONNECTION_BYTES = 4_096  # a channel without a request; 3 KB measured
-HEADER_ENTRY_BYTES = 128  # of a parsed header beside its text; 85 measured
+CONNECTION_BYTES = 4_096  # a channel without a request takes 3 KB
+HEADER_ENTRY_BYTES = 128  # of a parsed header beside its text, which takes 85
 LINGER_MS = 1_000
 ACCEPT_PAUSE_MS = 100  # while no descriptor is left and none can be freed
 NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
