Limit a predecessor's leases once, not with each page of the log

The acting host applied the ends of its predecessor's leases with each page that it read, some 20 times a second: each time a dictionary of the record and a pass over all workers. They can only change as a term begins, or as a record of the end of a term is read, and are applied then now. New tests read the record before and after the claim; they pass on the earlier code too.

The dispatcher kept its policies without a use. The test harness listed the events that the decision log lists as well, and takes them from there.

--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -185,6 +185,7 @@
         changed = []
         own_records = []
         described_jobs = []
+        has_term_ended = False
         epoch = self._ledger.epoch
         for applied in apply_records(self._context, self._ledger, message):
             changed.extend(applied.changed_job_ids)
@@ -192,6 +193,7 @@
             epoch = self._ledger.epoch
             if isinstance(applied.record, ActingEnded):
                 self._predecessor_leases.note_term_ended(applied.record, now_ms)
+                has_term_ended = True
             if isinstance(applied.record, (WorkAccepted, WorkSnapshot)):
                 described_jobs.append(applied.record.job.job_id)
             if self._pending_appends.pop(applied.record_id, None) is not None:
@@ -199,7 +201,8 @@
         self._update_role()
         if self._dispatcher is None:
             return
-        self._limit_leases()
+        if has_term_ended:
+            self._limit_leases()
         for record in own_records:
             self._handle_own_record(record)
         self._execute_actions(self._dispatcher.handle_changed_jobs(changed, now_ms))
@@ -435,6 +438,7 @@
                 "taken_up": len(self._dispatcher.runs),
             },
         )
+        self._limit_leases()
         self._dispatcher.apply_evacuations(self._evacuations.known, self._now_ms())
         if self._configuration.version >= 0:
             self._dispatcher.configure(self._configuration)
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -82,7 +82,6 @@
     ):
         self._ledger = ledger
         self._limits = limits
-        self._policies = policies
         self._planner = UnitPlanner(work_order, limits, policies)
         self._workers = {}
         self._unit_runs = adopt_launches(ledger, self._workers, limits, now_ms)
--- a/tests/dispatch_harness.py
+++ b/tests/dispatch_harness.py
@@ -1,5 +1,6 @@
 """Builders, and a dispatcher with simulated workers for tests without a network."""
 
+from knapweedshed.controllers.decision_log import EVENT_TYPES
 from knapweedshed.decisions.dispatch import Dispatcher
 from knapweedshed.decisions.evacuation import NO_EVACUATIONS
 from knapweedshed.decisions.unit_runs import TimeLimits
@@ -7,18 +8,11 @@
 from knapweedshed.decisions.work_order import create_ordering_policy
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
-    HeadroomChanged,
     OrderOutcome,
-    Preempted,
     RecordLaunches,
     RecordTaskEnds,
-    RunLost,
-    RunStopped,
     StartRun,
-    StartsGivenUp,
-    UnitMoved,
     WithdrawStarts,
-    WorkerHung,
 )
 from knapweedshed.models.overload import NO_OVERLOAD_POLICIES
 from knapweedshed.models.service_configuration import (
@@ -44,16 +38,7 @@
 
 CAPACITY = Resources(64_000, 131_072, 8)
 TASK_RESOURCES = Resources(8_000, 10_000, 1)
-RECORDED_TYPES = (
-    HeadroomChanged,
-    Preempted,
-    RunLost,
-    RunStopped,
-    StartsGivenUp,
-    UnitMoved,
-    WorkerHung,
-    WithdrawStarts,
-)
+RECORDED_TYPES = (*EVENT_TYPES, WithdrawStarts)
 TIME_LIMITS = TimeLimits(lease_ms=6_000, max_acting_without_log_ms=10_000, early_ms=250)
 
 
--- a/tests/test_predecessor_leases.py
+++ b/tests/test_predecessor_leases.py
@@ -14,7 +14,7 @@
 from knapweedshed.models.work import EndKind, TaskEnd, TaskRun
 from knapweedshed.models.work_records import ActingClaimed, ActingEnded
 from tests.dispatch_harness import TIME_LIMITS, DispatchHarness, make_job
-from tests.scheduling_harness import SchedulingHarness
+from tests.scheduling_harness import HOST_ID, SchedulingHarness
 
 LONGEST_WAIT_MS = 16_200  # 10 s of acting without the log and a lease of 6 s
 
@@ -106,6 +106,34 @@
         self.assertEqual(len(harness.dispatcher.runs), 1)
 
 
+class BeginOfTermTest(unittest.TestCase):
+    """The record counts whether it is read before or after the successor's claim."""
+
+    CLAIM = ActingClaimed(3, HOST_ID)
+    ENDED = ActingEnded(2, (("w0", 900),))
+
+    def left_ms(self, *records):
+        """Return how long the lease of a worker without an answer may still hold."""
+        harness = SchedulingHarness(workers=1)
+        harness.accept(make_job())
+        harness.append(harness.plan())
+        harness.read([ActingClaimed(2, "edge-2/x")])
+        harness.clock.advance(LONGEST_WAIT_MS)
+        for record in records:
+            harness.read([record])
+        worker = harness.controller._dispatcher.workers["w0"]
+        return worker.lease_left_ms(harness.clock.now_ms())
+
+    def test_without_the_record_the_longest_wait_counts(self):
+        self.assertGreater(self.left_ms(self.CLAIM), 16_000)
+
+    def test_record_that_is_read_before_the_claim_limits_the_wait(self):
+        self.assertLess(self.left_ms(self.ENDED, self.CLAIM), 1_200)
+
+    def test_record_that_is_read_after_the_claim_limits_the_wait(self):
+        self.assertLess(self.left_ms(self.CLAIM, self.ENDED), 1_200)
+
+
 class EndOfTermTest(unittest.TestCase):
     def setUp(self):
         self.harness = SchedulingHarness(workers=1)
