A reader of a log without its first records proves the epoch before it applies them

Cause: a reader without the acting host's claim took the epoch for 0, dropped the ends and launches before the first heartbeat, and started those jobs again when it acted. Change: heartbeats say how far their writer had read; a reader keeps records back until one proves the epoch at the first records, and applies all of them by their own epochs.

--- a/knapweedshed/controllers/jobs.py
+++ b/knapweedshed/controllers/jobs.py
@@ -131,7 +131,9 @@
         self._admission.note_read(self._last_read_requested_ms)
         if message.records:
             self._last_offset = message.records[-1].offset
-        if not message.caught_up:
+        if not self._ledger.has_begun:
+            self._caught_up = False
+        if not (message.caught_up and self._ledger.has_begun):
             return
         self._last_read_ms = now_ms
         self._last_read_requested_ms = message.requested_ms
--- a/knapweedshed/controllers/messages.py
+++ b/knapweedshed/controllers/messages.py
@@ -60,7 +60,8 @@
 class RecordsRead(NamedTuple):
     """A page of a stream's records, in order of their offsets.
 
-    `first_retained` is the lowest offset that the log still has.
+    `first_retained` is the lowest offset that the log still has. With `is_gap` the log
+    has dropped records that were not read yet; the next ones begin there.
     `requested_ms` is when the read was requested. The next read begins after `pause_ms`
     or on `ReadNow`; with 0 it has already begun.
     """
@@ -71,6 +72,7 @@
     caught_up: bool
     requested_ms: int = 0
     pause_ms: int = 0
+    is_gap: bool = False
 
 
 class SetReadPause(NamedTuple):
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -184,7 +184,9 @@
             self._log_unreadable_since_ms = None
         changed = []
         own_records = []
-        described_jobs = []
+        descriptions = []
+        if message.is_gap:
+            self._election.note_gap()
         has_term_ended = False
         epoch = self._ledger.epoch
         for applied in apply_records(self._context, self._ledger, message):
@@ -195,7 +197,7 @@
                 self._predecessor_leases.note_term_ended(applied.record, now_ms)
                 has_term_ended = True
             if isinstance(applied.record, (WorkAccepted, WorkSnapshot)):
-                described_jobs.append(applied.record.job.job_id)
+                descriptions.append(applied.record)
             if self._pending_appends.pop(applied.record_id, None) is not None:
                 own_records.append(applied.record)
         self._update_role()
@@ -207,7 +209,8 @@
             self._handle_own_record(record)
         self._execute_actions(self._dispatcher.handle_changed_jobs(changed, now_ms))
         self._decision_log.log_ended_jobs(self._ledger, changed)
-        self._append_records(self._term_records.ends_again(described_jobs))
+        self._append_records(self._term_records.ends_again(descriptions))
+        self._append_records(self._term_records.last_snapshots(changed))
         self._schedule_planning()
 
     @receive.register
@@ -332,12 +335,15 @@
         """Claim the role; while acting, send heartbeats and run periodic work."""
         now_ms = self._now_ms()
         if self._election.take_claim(self._ledger, now_ms):
-            self._append_record(ActingClaimed(self._ledger.epoch + 1, self._host_id))
+            self._append_record(ActingClaimed(self._ledger.next_epoch, self._host_id))
         if self._dispatcher is None:
             return
         if now_ms - self._last_heartbeat_ms >= HEARTBEAT_PERIOD_MS:
             self._last_heartbeat_ms = now_ms
-            self._append_record(ActingBeat(self._ledger.epoch, self._host_id))
+            heartbeat = ActingBeat(
+                self._ledger.epoch, self._host_id, self._ledger.applied_offset
+            )
+            self._append_record(heartbeat)
         self._append_records(self._term_records.due(self._dispatcher, now_ms))
         self._execute_actions(self._dispatcher.tick(now_ms))
         self._worker_holds.resume()
@@ -408,7 +414,10 @@
         should_act = self._election.should_act(self._ledger)
         is_acting = self._dispatcher is not None
         if is_acting and (not should_act or self._term_epoch != self._ledger.epoch):
-            self._end_term("another host has claimed the role")
+            reason = "another host has claimed the role"
+            if not self._ledger.has_begun:
+                reason = "records of the log were missed"
+            self._end_term(reason)
             is_acting = False
         if should_act and not is_acting and self._resign_reply is None:
             self._begin_term()
--- a/knapweedshed/controllers/term_records.py
+++ b/knapweedshed/controllers/term_records.py
@@ -1,10 +1,15 @@
 """Records that the acting host writes to the work stream beside its decisions."""
 
+from collections import Counter
+
 from knapweedshed.controllers.load_reports import LoadReports
 from knapweedshed.decisions.snapshots import SnapshotSchedule
+from knapweedshed.decisions.work_ledger import shows_end
 from knapweedshed.models.work import WorkState
 from knapweedshed.models.work_records import SpeedsLearned, WorkCancelled
 
+# Of one job in a term: late copies of its snapshots may come one after the other.
+MAX_END_RECORDS_COUNT = 3
 SPEEDS_RECORD_PERIOD_MS = 1_000  # bounds what a host that takes over has to learn again
 
 
@@ -18,12 +23,12 @@
         self._reports_load = overload_policies.admission_control
         self._load_reports = None
         self._snapshot_schedule = SnapshotSchedule(settings.log_keep_ms)
-        self._ends_recorded_again = set()
+        self._end_records = Counter()
         self._speeds_recorded_ms = 0
 
     def begin_term(self):
         """Forget what an earlier term has recorded again."""
-        self._ends_recorded_again = set()
+        self._end_records = Counter()
         if self._reports_load:
             self._load_reports = LoadReports(self._context, self._ledger)
 
@@ -49,22 +54,43 @@
             records.extend(self._load_reports.due(dispatcher, now_ms))
         return records
 
-    def ends_again(self, job_ids):
+    def last_snapshots(self, job_ids):
+        """Return a last snapshot of the jobs that have ended since an earlier one.
+
+        That one may stand in the log after ends that were read after it was taken. A
+        reader for whom the log begins between the two would run those tasks again.
+        """
+        records = []
+        for job_id in set(job_ids):
+            progress = self._ledger.jobs[job_id]
+            is_over = not progress.active and progress.was_snapshotted
+            if is_over and job_id not in self._end_records:
+                records.append(self._describe_end(progress))
+        return records
+
+    def ends_again(self, descriptions):
         """Return the ends of jobs that stand in the log before their jobs.
 
         A snapshot may be written just before its job's end is read, and a cancel may
         come before its acceptance. A reader for whom the log begins between the two
-        would take the job for open.
+        would take the job for open. `descriptions` are acceptances and snapshots.
         """
         records = []
-        for job_id in set(job_ids) - self._ends_recorded_again:
+        for description in descriptions:
+            job_id = description.job.job_id
             progress = self._ledger.jobs.get(job_id)
-            if progress is None or progress.active:
+            if progress is None or progress.active or shows_end(description):
                 continue
-            self._ends_recorded_again.add(job_id)
-            if progress.state == WorkState.CANCELLED:
-                records.append(WorkCancelled(job_id))
-            else:
-                wall_ms = self._clock.wall_ms()
-                records.append(progress.snapshot(self._ledger.epoch, wall_ms))
+            is_cancelled = progress.state == WorkState.CANCELLED
+            max_count = 1 if is_cancelled else MAX_END_RECORDS_COUNT
+            if self._end_records[job_id] < max_count:
+                records.append(self._describe_end(progress))
         return records
+
+    def _describe_end(self, progress):
+        """Return a record that ends a job for readers of its latest description."""
+        job_id = progress.job.job_id
+        self._end_records[job_id] += 1
+        if progress.state == WorkState.CANCELLED:
+            return WorkCancelled(job_id)
+        return progress.snapshot(self._ledger.epoch, self._clock.wall_ms())
--- a/knapweedshed/controllers/work_stream.py
+++ b/knapweedshed/controllers/work_stream.py
@@ -34,9 +34,12 @@
     """Apply the records of a page to a ledger; yield an `AppliedRecord` after each.
 
     A record that can't be decoded or applied is logged and skipped; every reader of the
-    same release skips the same records.
+    same release skips the same records. After a gap the ledger begins again.
     """
+    if page.is_gap:
+        ledger.begin_at(page.first_retained)
     for stored in page.records:
+        had_begun = ledger.has_begun
         try:
             record = json_text.loads_message(stored.body)
             changed = ledger.apply(stored.offset, record)
@@ -49,4 +52,11 @@
                 },
             )
             continue
+        if ledger.has_begun and not had_begun:
+            context.logger.info(
+                "log begun",
+                extra={"offset": stored.offset, "epoch": ledger.epoch},
+            )
         yield AppliedRecord(stored.record_id, record, changed)
+    if page.caught_up:
+        ledger.note_caught_up()
--- a/knapweedshed/decisions/leadership.py
+++ b/knapweedshed/decisions/leadership.py
@@ -74,6 +74,10 @@
             self._caught_up = True
             self._leader_heard_ms = now_ms
 
+    def note_gap(self):
+        """Note that records were missed: who acts isn't known before the log's end."""
+        self._caught_up = False
+
     def note_leader_heard(self, now_ms):
         """Note that a record of the acting scheduler was read."""
         self._leader_heard_ms = now_ms
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -3,6 +3,7 @@
 Every reader of the stream, entry or scheduler, derives the same state.
 """
 
+from knapweedshed.decisions.log_beginning import BeginningSearch
 from knapweedshed.decisions.overload.load_figure import check_loads
 from knapweedshed.decisions.overload.queue_sizes import QueueSizes
 from knapweedshed.models.work import (
@@ -17,6 +18,7 @@
     ActingBeat,
     ActingClaimed,
     ActingResigned,
+    Launched,
     LoadReported,
     RunsLaunched,
     SpeedsLearned,
@@ -28,6 +30,9 @@
 
 MAX_ENDED_JOBS = 5_000  # more than users complete in a day; bounds memory
 MAX_EARLY_CANCELS_COUNT = 5_000  # ids of jobs that were cancelled and never accepted
+# Jobs whose ends and launches are kept until a record describes them.
+MAX_UNKNOWN_JOBS_COUNT = 5_000
+UNKNOWN_HOST = "unknown"  # no host has this id, which has a slash
 ACTIVE_STATES = (WorkState.PENDING, WorkState.RUNNING)
 
 
@@ -52,6 +57,11 @@
         self._unit_count = _unit_count(job)
         self._ready = {}
 
+    @property
+    def was_snapshotted(self):
+        """Whether the log has had a snapshot of the job."""
+        return self.written_wall_ms > self.job.accepted_wall_ms
+
     @property
     def active(self):
         """Whether the job is pending or running."""
@@ -157,16 +167,25 @@
 
     Ends, launches, speeds and snapshots of a replaced epoch change nothing. A job whose
     cancel is in the log before its acceptance is cancelled from the start.
+
+    After `begin_at`, records are kept back until the epoch in force is known. Until the
+    ledger `has_begun` it knows of no job, and the acting host is `UNKNOWN_HOST`.
     """
 
     def __init__(self):
+        self._beginning_search = None
+        self._clear()
+
+    def _clear(self):
         self._jobs = {}
         self._open_jobs = {}
         self._ended_job_ids = {}
         self._early_cancels = {}
+        self._unknown_jobs_parts = {}
         self._epoch = 0
         self._acting_host = ""
         self._claimed_offset = -1
+        self._applied_offset = -1
         self._speeds = {}
         self._queue_sizes = QueueSizes()
         self._load_report = None
@@ -196,11 +215,28 @@
         """Return the latest `LoadReported` of the epoch in force, or None."""
         return self._load_report
 
+    @property
+    def has_begun(self):
+        """Whether the epoch in force is known, and all later records are applied."""
+        return self._beginning_search is None
+
+    @property
+    def applied_offset(self):
+        """Return the offset of the last record applied, or -1 before the first."""
+        return self._applied_offset
+
     @property
     def epoch(self):
         """Return the epoch of the last valid claim; 0 before the first."""
         return self._epoch
 
+    @property
+    def next_epoch(self):
+        """Return the epoch that a host may claim now."""
+        if self._beginning_search is not None:
+            return self._beginning_search.next_epoch
+        return self._epoch + 1
+
     @property
     def acting_host(self):
         """Return the host of the acting scheduler, or "" if it resigned."""
@@ -218,8 +254,34 @@
             return False
         return 0 <= task.index < progress.job.steps[task.step].count
 
+    def begin_at(self, first_offset):
+        """Forget everything, as the log has dropped records before `first_offset`."""
+        self._clear()
+        self._acting_host = UNKNOWN_HOST
+        self._beginning_search = BeginningSearch(first_offset)
+
+    def note_caught_up(self):
+        """Note that the log has been read to its end."""
+        if self._beginning_search is not None:
+            self._beginning_search.note_caught_up()
+
     def apply(self, offset, record):
         """Apply one record; return the ids of the jobs that it changed."""
+        if self._beginning_search is None:
+            return self._apply_known(offset, record)
+        beginning = self._beginning_search.add(offset, record)
+        if beginning is None:
+            return []
+        self._beginning_search = None
+        self._epoch, self._acting_host = beginning.epoch, beginning.acting_host
+        changed_ids = []
+        for later_offset, later_record in beginning.records:
+            changed_ids.extend(self._apply_known(later_offset, later_record))
+        return changed_ids
+
+    def _apply_known(self, offset, record):
+        """Apply one record by the epoch in force."""
+        self._applied_offset = offset
         changed_ids = self._apply(offset, record)
         for job_id in changed_ids:
             if self._jobs[job_id].active:
@@ -303,6 +365,8 @@
     def _add_job(self, job, offset):
         progress = self._jobs[job.job_id] = JobProgress(job, offset)
         self._queue_sizes.note(job)
+        for part in self._unknown_jobs_parts.pop(job.job_id, ()):
+            _apply_to_job(progress, part)
         if self._early_cancels.pop(job.job_id, False):
             progress.state = WorkState.CANCELLED
         return progress
@@ -329,25 +393,52 @@
     def _apply_ends(self, record):
         if record.epoch != self._epoch:
             return ()
-        changed_ids = []
-        for end in record.ends:
-            progress = self._jobs.get(end.task.job_id)
-            if progress is not None:
-                progress.record_end(end)
-                changed_ids.append(end.task.job_id)
-        return changed_ids
+        return [
+            end.task.job_id
+            for end in record.ends
+            if self._apply_part(end.task.job_id, end)
+        ]
 
     def _apply_launches(self, record):
         if record.epoch != self._epoch:
             return ()
-        changed_ids = []
-        for launched in record.launches:
-            progress = self._jobs.get(launched.unit.job_id)
-            if progress is None:
-                continue
-            progress.record_launch(launched)
-            changed_ids.append(launched.unit.job_id)
-        return changed_ids
+        return [
+            launched.unit.job_id
+            for launched in record.launches
+            if self._apply_part(launched.unit.job_id, launched)
+        ]
+
+    def _apply_part(self, job_id, part):
+        """Apply an end or a launch; return whether its job is known.
+
+        Parts of an unknown job wait for its description: its snapshot may have been
+        taken before they were read. Without them their tasks would run again.
+        """
+        progress = self._jobs.get(job_id)
+        if progress is not None:
+            _apply_to_job(progress, part)
+            return True
+        self._unknown_jobs_parts.setdefault(job_id, []).append(part)
+        while len(self._unknown_jobs_parts) > MAX_UNKNOWN_JOBS_COUNT:
+            del self._unknown_jobs_parts[next(iter(self._unknown_jobs_parts))]
+        return False
+
+
+def shows_end(description):
+    """Return whether an acceptance or snapshot shows by itself that its job is over."""
+    if not isinstance(description, WorkSnapshot):
+        return False
+    progress = JobProgress(description.job, 0)
+    progress.merge_snapshot(description)
+    return not progress.active
+
+
+def _apply_to_job(progress, part):
+    """Apply an end or a launch to the `JobProgress` that it belongs to."""
+    if isinstance(part, Launched):
+        progress.record_launch(part)
+    else:
+        progress.record_end(part)
 
 
 def _unit_count(job):
--- a/knapweedshed/links/log.py
+++ b/knapweedshed/links/log.py
@@ -217,9 +217,19 @@
             return
         self._failed_before = False
         self._wait_ms = self._max_wait_ms
+        is_gap = not page.records and page.first_retained > self._next_offset
         if page.records:
             self._next_offset = page.records[-1].offset + 1
-        elif page.first_retained > self._next_offset:
+        elif is_gap:
+            self._context.logger.warning(
+                "log records missed",
+                extra={
+                    "stream": self._stream,
+                    "from": self._next_offset,
+                    "first_retained": page.first_retained,
+                },
+            )
+            self._context.metrics.count("log.gaps")
             self._next_offset = page.first_retained
         caught_up = len(page.records) < MAX_PAGE_RECORDS
         if page.end >= 0:
@@ -234,6 +244,7 @@
                 caught_up,
                 requested_ms,
                 pause_ms,
+                is_gap,
             ),
         )
         if pause_ms:
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -52,10 +52,15 @@
 
 
 class ActingBeat(NamedTuple):
-    """Heartbeat of the acting scheduler; tells its epoch to readers that start late."""
+    """Heartbeat of the acting scheduler; tells its epoch to readers that start late.
+
+    `epoch` was in force at `read_offset`, the last offset that its writer had read; -1
+    in the records of earlier releases.
+    """
 
     epoch: int
     host: str = ""
+    read_offset: int = -1
 
 
 class WorkSnapshot(NamedTuple):
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from tests.soak import HOST_COUNT, WORKER_COUNT, run_seed
+from tests.soak import HOST_COUNT, KEEP_S, SHORT_KEEP_S, WORKER_COUNT, run_seed
 
 FAULTS_S = 30
 
@@ -26,14 +26,21 @@
 ):
     """Play `seeds` seeds from `first` on, `jobs` at a time, `faults_s` seconds each.
 
-    Each seed has `hosts` host processes, and `workers` workers in one process.
+    Each seed has `hosts` host processes, and `workers` workers in one process. Every
+    third seed has a store that drops records so soon that hosts begin within the log.
     The logs of seeds that broke a promise are kept in the folder `keep_logs`.
     """
     reports = []
     with ProcessPoolExecutor(jobs) as executor:
         futures = [
             executor.submit(
-                run_seed, seed, faults_s, keep_logs, hosts=hosts, workers=workers
+                run_seed,
+                seed,
+                faults_s,
+                keep_logs,
+                hosts=hosts,
+                workers=workers,
+                keep_s=KEEP_S if seed % 3 else SHORT_KEEP_S,
             )
             for seed in range(first, first + seeds)
         ]
--- a/tests/fleet_standin.py
+++ b/tests/fleet_standin.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import bisect
 import json
 import logging
 import random
@@ -57,13 +58,16 @@
     The next `append_responses_to_drop` appends are stored, but answered with status
     502, as if the response was lost. `append_fault`, if set, returns an `AppendFault`
     for the next append, or None. While `down` is set, every call fails with status 503.
-    Answers come up to `max_answer_delay_s` late.
+    Answers come up to `max_answer_delay_s` late. Records that are older than `keep_s`
+    are dropped, but for the newest of each key; 0 keeps all.
     """
 
-    def __init__(self, port):
+    def __init__(self, port, keep_s=0):
         self.address = f"127.0.0.1:{port}"
         self.topics = {}
         self.first_offsets = {}
+        self._keep_s = keep_s
+        self._stored_s = {}  # by topic, when each record was stored
         self.append_responses_to_drop = 0
         self.append_fault = None
         self.down = False
@@ -85,11 +89,20 @@
         with self._changed:
             self.first_offsets[topic] = len(self.topics.get(topic, ()))
 
+    def _drop_old_records(self, topic):
+        if not self._keep_s:
+            return
+        oldest_s = time.monotonic() - self._keep_s
+        first = bisect.bisect_left(self._stored_s.get(topic, ()), oldest_s)
+        self.first_offsets[topic] = max(first, self.first_offsets.get(topic, 0))
+
     def _append_records(self, topic, records):
         with self._changed:
             stored = self.topics.setdefault(topic, [])
             first_offset = len(stored)
             stored.extend(records)
+            stored_s = self._stored_s.setdefault(topic, [])
+            stored_s.extend([time.monotonic()] * len(records))
             self._changed.notify_all()
             return first_offset, len(stored)
 
@@ -135,6 +148,7 @@
         from_offset = int(query["from"])
         wait_s = min(int(query.get("wait_ms", 0)) / 1_000, MAX_READ_WAIT_S)
         with self._changed:
+            self._drop_old_records(topic)
             if from_offset < self.first_offsets.get(topic, 0):
                 return json_response(410, {"first": self.first_offsets[topic]})
             self._changed.wait_for(
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -31,6 +31,10 @@
 WORKER_COUNT = 6
 CLIENT_COUNT = 3
 START_TIMEOUT_S = 20
+KEEP_S = 300
+# Longer than all hosts are away at a time, and an open job is written each third of it.
+SHORT_KEEP_S = 20
+FOLLOW_PERIOD_S = 0.3
 FAULT_PERIOD_S = 1.2  # mean time between the beginnings of two faults
 # A takeover, a lease, the longest jobs of the soak, and a busy machine.
 SETTLE_TIMEOUT_S = 45
@@ -86,7 +90,7 @@
 class SoakHost:
     """One host process at its own proxied path to the store."""
 
-    def __init__(self, name, proxy, store, folder, ports):
+    def __init__(self, name, proxy, store, folder, ports, keep_s=KEEP_S):
         self.name = name
         self.store_port = next(ports)
         self.front = f"127.0.0.1:{next(ports)}"
@@ -96,7 +100,7 @@
             **SETTINGS,
             "node": name,
             "listen": {"front": self.front, "ready": f"127.0.0.1:{next(ports)}"},
-            "platform": {"addr": f"127.0.0.1:{self.store_port}", "keep_s": 300},
+            "platform": {"addr": f"127.0.0.1:{self.store_port}", "keep_s": keep_s},
             "bounds": {**SETTINGS["bounds"], "evac_ms": EVACUATION_MS},
             "zones": {name: {} for name in DATA_CENTRES},
         }
@@ -156,18 +160,20 @@
 class Soak:
     """One run of the soak with `hosts` processes and `workers` workers."""
 
-    def __init__(self, seed, folder, hosts=HOST_COUNT, workers=WORKER_COUNT):
+    def __init__(
+        self, seed, folder, hosts=HOST_COUNT, workers=WORKER_COUNT, keep_s=KEEP_S
+    ):
         self._random = random.Random(seed)
         self._append_random = random.Random(f"{seed}/appends")
         self._evacuation_random = random.Random(f"{seed}/evacuations")
         self._seed = seed
         self._proxy = Proxy()
         self._ports = server_ports()
-        self._store = FakeStore(next(self._ports))
+        self._store = FakeStore(next(self._ports), keep_s)
         self._store.put("keyed.op", "config", SOAK_CONFIGURATION)
         self._workers = SoakWorkers(self._store, service_of)
         self._hosts = [
-            SoakHost(f"edge-{n}", self._proxy, self._store, folder, self._ports)
+            SoakHost(f"edge-{n}", self._proxy, self._store, folder, self._ports, keep_s)
             for n in range(hosts)
         ]
         self._worker_count = workers
@@ -184,6 +190,8 @@
         self._version = CONFIGURATION["version"]
         self._revoked = {}
         self._refused_late = 0
+        self._drops_ended_jobs = keep_s < KEEP_S
+        self._ended = set()
 
     def run(self, duration_s):
         """Play faults for `duration_s`, let the system settle; return a report."""
@@ -203,6 +211,8 @@
             else:
                 for client in clients:
                     client.start()
+                if self._drops_ended_jobs:
+                    threading.Thread(target=self._follow_jobs, daemon=True).start()
                 self._play_faults(duration_s)
                 self._stop_submitting.set()
                 for client in clients:
@@ -529,7 +539,7 @@
         for host in self._hosts:
             if host.process.poll() is not None:
                 host.start()
-        open_jobs = {job_id for job_id, codes in self._answers.items() if 200 in codes}
+        open_jobs = self._accepted_jobs() - self._ended
         rng = random.Random(f"{self._seed}/end")
         while open_jobs and time.monotonic() < deadline_s:
             for job_id in sorted(open_jobs):
@@ -546,10 +556,30 @@
             elif codes and codes[-1] in NOT_ACCEPTED and 200 not in codes:
                 self._refused_late += job_id in self._workers.started_jobs
 
+    def _accepted_jobs(self):
+        with self._lock:
+            return {job_id for job_id, codes in self._answers.items() if 200 in codes}
+
+    def _follow_jobs(self):
+        """Take note of the jobs that end, before the log drops their records."""
+        rng = random.Random(f"{self._seed}/follow")
+        while not self._stop_submitting.wait(FOLLOW_PERIOD_S):
+            for job_id in sorted(self._accepted_jobs() - self._ended):
+                host = rng.choice(self._hosts)
+                if self._has_ended(host, job_id, time.monotonic() + 1):
+                    self._ended.add(job_id)
+
+    def _may_be_forgotten(self, job_id):
+        """Return whether hosts may have forgotten a job, which ended long ago."""
+        is_over = job_id in self._workers.cancelled_ms or not self._steps_left(job_id)
+        return self._drops_ended_jobs and is_over
+
     def _has_ended(self, host, job_id, deadline_s):
         status, body = call_host(
             host, "GET", job_id, None, min(deadline_s, time.monotonic() + 1)
         )
+        if status == 404:
+            return self._may_be_forgotten(job_id)
         if status != 200:
             return False
         state = body.get("state")
@@ -563,11 +593,18 @@
 
     def _check_completed(self, job_id):
         self._completed.add(job_id)
+        for number in self._steps_left(job_id):
+            self._broken.append(f"MIXED: {job_id} completed, step {number} isn't")
+
+    def _steps_left(self, job_id):
+        """Return the numbers of the steps that workers haven't seen end."""
+        left = []
         for number, step in enumerate(self._workers.jobs[job_id]):
             names = {f"{job_id}.0.{number}.{i}" for i in range(step["count"])}
             ended = names & self._workers.ended_done
             if ended != names and not (step.get("gang") and ended):
-                self._broken.append(f"MIXED: {job_id} completed, step {number} isn't")
+                left.append(number)
+        return left
 
 
 def _random_steps(rng):
@@ -637,8 +674,9 @@
 def run_seed(seed, duration_s, keep_logs="", **sizes):
     """Run the soak for one seed; return a `SoakReport`.
 
-    `sizes` are the numbers of `hosts` and `workers`. The processes' logs are kept in
-    the folder `keep_logs` if a promise was broken.
+    `sizes` are the numbers of `hosts` and `workers`, and for how long the store keeps
+    records, `keep_s`. The processes' logs are kept in the folder `keep_logs` if a
+    promise was broken.
     """
     with tempfile.TemporaryDirectory() as folder:
         report = Soak(seed, folder, **sizes).run(duration_s)
