A planning pass looks at a bounded number of waiting units

Cause: a pass took time for every waiting task, several times over (listing, filtering, grouping, ordering; the work left of a step from all steps of its job), 5 to 6 s for 259,200; the same actor sends the heartbeats, so each host lost the role before it started anything (2, 2 and 1 terms in 14 s).

--- a/knapweedshed/controllers/decision_log.py
+++ b/knapweedshed/controllers/decision_log.py
@@ -35,6 +35,7 @@
         self._logger = context.logger
         self._logged_job_ids = set()
         self._short_services = frozenset()
+        self._is_plan_limited = False
 
     def log_launches(self, launches):
         """Log the runs that are about to be recorded and started."""
@@ -241,6 +242,17 @@
             self._logger.info("capacity suffices", extra={"service": service})
         self._short_services = frozenset(shortages)
 
+    def log_limited_plan(self, is_limited, open_job_count):
+        """Log when plans begin to look at a part of the waiting units, or at all."""
+        if is_limited == self._is_plan_limited:
+            return
+        self._is_plan_limited = is_limited
+        self._context.metrics.gauge("plan.limited", int(is_limited))
+        message = "plans look at " + ("a part" if is_limited else "all")
+        self._logger.info(
+            f"{message} of the waiting units", extra={"open_jobs": open_job_count}
+        )
+
     def log_ended_jobs(self, ledger, changed):
         """Log each ended job once: its state, and its duration beside its objective."""
         wall_ms = self._context.clock.wall_ms()
@@ -263,6 +275,6 @@
                     "took_ms": wall_ms - job.accepted_wall_ms,
                     "estimate_ms": estimate_ms,
                     "objective_ms": int(objective_ms),
-                    "runs": sum(item.run for item in progress.launched.values()),
+                    "runs": progress.run_count,
                 },
             )
--- a/knapweedshed/controllers/load_reports.py
+++ b/knapweedshed/controllers/load_reports.py
@@ -21,6 +21,7 @@
 from knapweedshed.models.work_records import LoadReported
 
 MAX_LOGGED_LOADS_COUNT = 20
+MAX_MEASURED_UNITS_COUNT = 20_000  # so many that wait show any shortage
 # Times the last measurement's duration; limits it to a quarter of the processor time.
 MEASURE_PERIOD_RATIO = 4
 
@@ -70,7 +71,8 @@
         """Return the loads of the services that are short."""
         ledger, runs = self._ledger, dispatcher.runs
         wall_ms = self._context.clock.wall_ms()
-        units = [unit for unit in ready_units(ledger, wall_ms) if unit not in runs]
+        ready = ready_units(ledger, wall_ms, MAX_MEASURED_UNITS_COUNT)
+        units = [unit for unit in ready if unit not in runs]
         waiting_steps = collect_waiting_steps(
             units, ledger, runs, ServiceConfiguration(), now_ms, wall_ms
         )
--- a/knapweedshed/controllers/scheduling.py
+++ b/knapweedshed/controllers/scheduling.py
@@ -144,6 +144,7 @@
         self._max_record_bytes = settings.log_record_bytes
         self._decision_log = DecisionLog(context)
         self._evacuations = EvacuationState(context, settings.evacuation_ms)
+        self._longest_turn_ms = 0
         self._planning_scheduled = False
         self._plan_delay_ms = MIN_PLAN_DELAY_MS
 
@@ -151,6 +152,16 @@
         """Stop the links to workers."""
         self._worker_links.close()
 
+    def on_receive(self, message):
+        """Handle a message; heartbeats and holds wait for the longest turn."""
+        began_ms = self._now_ms()
+        result = super().on_receive(message)
+        turn_ms = self._now_ms() - began_ms
+        if turn_ms > self._longest_turn_ms:
+            self._longest_turn_ms = turn_ms
+            self._context.metrics.gauge("turn.longest_ms", turn_ms)
+        return result
+
     @singledispatchmethod
     def receive(self, message):
         """Handle a message by its type."""
@@ -359,6 +370,9 @@
         wall_ms = self._context.clock.wall_ms()
         self._execute_actions(self._dispatcher.plan(now_ms, wall_ms))
         self._decision_log.log_shortages(self._ordering_policy.shortages)
+        self._decision_log.log_limited_plan(
+            self._dispatcher.waiting_is_limited, len(self._ledger.open_jobs)
+        )
         duration_ms = self._now_ms() - now_ms
         self._plan_delay_ms = max(MIN_PLAN_DELAY_MS, PLAN_DELAY_RATIO * duration_ms)
         self._context.metrics.timing("plan", duration_ms)
--- a/knapweedshed/controllers/term_records.py
+++ b/knapweedshed/controllers/term_records.py
@@ -62,9 +62,10 @@
         """
         records = []
         for job_id in set(job_ids):
-            progress = self._ledger.jobs[job_id]
-            is_over = not progress.active and progress.was_snapshotted
-            if is_over and job_id not in self._end_records:
+            progress = self._ledger.jobs.get(job_id)
+            if progress is None or progress.active or not progress.was_snapshotted:
+                continue
+            if job_id not in self._end_records:
                 records.append(self._describe_end(progress))
         return records
 
--- a/knapweedshed/decisions/dispatch.py
+++ b/knapweedshed/decisions/dispatch.py
@@ -6,6 +6,8 @@
 successor knows everywhere a run may exist.
 """
 
+from itertools import islice
+
 from knapweedshed.decisions.departures import Departures
 from knapweedshed.decisions.evacuation import NO_EVACUATIONS, give_up_starts
 from knapweedshed.decisions.failure_attribution import FailureAttribution
@@ -43,9 +45,10 @@
     unchanged_workers,
 )
 from knapweedshed.decisions.unit_runs import UnitRun, runs_of_forgotten_jobs
-from knapweedshed.decisions.units import ready_units, step_of
+from knapweedshed.decisions.units import step_of
 from knapweedshed.decisions.unrecorded_ends import UnrecordedEnds
 from knapweedshed.decisions.unsettled_launches import UnsettledLaunches
+from knapweedshed.decisions.waiting_window import WaitingWindow
 from knapweedshed.models.dispatch_actions import (
     ORDER_DONE,
     ORDER_UNKNOWN,
@@ -71,6 +74,7 @@
 # After a pause answers may wait that arrived meanwhile: time alone proves nothing yet.
 PAUSE_GRACE_MS = 1_500
 ORDER_TIMEOUT_MS = 3_000  # the three attempts of a start take 1.8 s
+MAX_NOTED_STEPS_COUNT = 20_000  # that wait, beyond those of the last plan
 LOST_RUN_KINDS = (EndKind.FAILED, EndKind.LAPSED)
 
 
@@ -106,6 +110,7 @@
         )
         self._speeds_updated_ms = now_ms
         self._capacity_changed = True
+        self._waiting_window = WaitingWindow()
         self._waiting_since_ms = {}
         self._preemption_claims = PreemptionClaims()
         self._unsettled_launches = UnsettledLaunches()
@@ -116,6 +121,11 @@
         """Whether a worker's answer has changed the usable capacity since the plan."""
         return self._capacity_changed
 
+    @property
+    def waiting_is_limited(self):
+        """Whether more units wait than the last plan has looked at."""
+        return self._waiting_window.is_limited
+
     @property
     def workers(self):
         """Return the tracked workers by worker id."""
@@ -382,17 +392,21 @@
         if self._configuration is None or not self._may_place_work(now_ms):
             return []
         unsettled = self._units_with_unrecorded_ends() | self._units_found_running()
-        waiting_units = [
-            unit
-            for unit in ready_units(self._ledger, wall_ms + self._limits.early_ms // 2)
-            if unit not in self._unit_runs
-            and unit not in unsettled
-            and not self._unsettled_launches.is_postponed(unit, now_ms)
-        ]
-        self._waiting_since_ms = {
-            unit[:3]: self._waiting_since_ms.get(unit[:3], now_ms)
-            for unit in waiting_units
-        }
+
+        def is_waiting(unit):
+            return (
+                unit not in self._unit_runs
+                and unit not in unsettled
+                and not self._unsettled_launches.is_postponed(unit, now_ms)
+            )
+
+        waiting_units = self._waiting_window.choose(
+            self._ledger,
+            wall_ms + self._limits.early_ms // 2,
+            is_waiting,
+            self._preemption_claims.units,
+        )
+        self._note_waiting(waiting_units, now_ms)
         self._preemption_claims.update(waiting_units, now_ms)
         if not waiting_units:
             return []
@@ -433,6 +447,18 @@
             actions.append(RecordLaunches(tuple(launches)))
         return actions
 
+    def _note_waiting(self, waiting_units, now_ms):
+        """Note since when the steps of these units have been waiting."""
+        noted = {
+            unit[:3]: self._waiting_since_ms.get(unit[:3], now_ms)
+            for unit in waiting_units
+        }
+        if self._waiting_window.is_limited:
+            # The others wait on until it is their turn again.
+            others = islice(self._waiting_since_ms.items(), MAX_NOTED_STEPS_COUNT)
+            noted.update(item for item in others if item[0] not in noted)
+        self._waiting_since_ms = noted
+
     def hold_parameters(self, worker_id, now_ms, answered=True):
         """Return (lease end on the worker's clock or 0, last end that it may discard).
 
--- a/knapweedshed/decisions/overload/shedding.py
+++ b/knapweedshed/decisions/overload/shedding.py
@@ -256,11 +256,11 @@
 def _remaining_core_s(waiting, progress):
     """Return the core-seconds of the waiting units, and of other steps not done yet."""
     first = waiting.units[0]
-    return waiting.work_core_s * len(waiting.units) + sum(
-        core_seconds(step, step.count)
-        for number, step in enumerate(progress.job.steps)
-        if number != first.step and not progress.step_done(first.occurrence, number)
+    step = progress.job.steps[first.step]
+    others_core_s = progress.work_left(first.occurrence).core_s - core_seconds(
+        step, step.count
     )
+    return waiting.work_core_s * len(waiting.units) + others_core_s
 
 
 def _turn_after_ms(candidate):
--- a/knapweedshed/decisions/preemption_claims.py
+++ b/knapweedshed/decisions/preemption_claims.py
@@ -31,6 +31,11 @@
     def __contains__(self, unit):
         return self.place(unit) is not None
 
+    @property
+    def units(self):
+        """Return the units that others were ever preempted for and that still wait."""
+        return self._claims.keys()
+
     def place(self, unit):
         """Return the worker ids that a unit claims, or None without a claim."""
         claim = self._claims.get(unit)
--- a/knapweedshed/decisions/record_parts.py
+++ b/knapweedshed/decisions/record_parts.py
@@ -16,7 +16,7 @@
     RunsLaunched: ("launches",),
     SpeedsLearned: ("speeds",),
     TasksEnded: ("ends",),
-    WorkSnapshot: ("done", "failed", "saved", "launched"),
+    WorkSnapshot: ("done", "done_ranges", "failed", "saved", "launched"),
 }
 
 
--- a/knapweedshed/decisions/waiting.py
+++ b/knapweedshed/decisions/waiting.py
@@ -1,6 +1,5 @@
 """Describes the waiting units, grouped by step, for ordering and placement."""
 
-from knapweedshed.decisions.units import critical_path_ms, remaining_critical_path_ms
 from knapweedshed.decisions.work_order import (
     LATE_OBJECTIVE_FACTOR,
     WaitingStep,
@@ -82,11 +81,11 @@
     arrival_wall_ms = job.accepted_wall_ms
     if job.repeats:
         arrival_wall_ms = job.first_wall_ms + first.occurrence * job.period_ms
-    objective_ms = job.objective_factor * critical_path_ms(job) + job.objective_ms
+    objective_ms = job.objective_factor * progress.critical_path_ms + job.objective_ms
     arrival_ms = now_ms - (wall_ms - arrival_wall_ms)
     if step.lasting:
         return _build_lasting_step(job, units, count, arrival_ms, now_ms)
-    remaining_path_ms = remaining_critical_path_ms(progress, first.occurrence)
+    remaining_path_ms = progress.work_left(first.occurrence).path_ms
     speed = MAX_TARGET_SPEED_RATIO
     if job.priority != URGENT_PRIORITY:
         speed = target_speed(remaining_path_ms, arrival_ms + objective_ms - now_ms)
--- a/knapweedshed/decisions/work_ledger.py
+++ b/knapweedshed/decisions/work_ledger.py
@@ -3,17 +3,12 @@
 Every reader of the stream, entry or scheduler, derives the same state.
 """
 
+from knapweedshed.decisions.done_units import DoneUnits
 from knapweedshed.decisions.log_beginning import BeginningSearch
 from knapweedshed.decisions.overload.load_figure import check_loads
 from knapweedshed.decisions.overload.queue_sizes import QueueSizes
-from knapweedshed.models.work import (
-    GANG_INDEX,
-    EndKind,
-    Unit,
-    WorkState,
-    unit_of_task,
-    units_of_step,
-)
+from knapweedshed.decisions.units import critical_path_ms, measure_work_left
+from knapweedshed.models.work import EndKind, WorkState, unit_of_task
 from knapweedshed.models.work_records import (
     ActingBeat,
     ActingClaimed,
@@ -30,6 +25,8 @@
 
 MAX_ENDED_JOBS = 5_000  # more than users complete in a day; bounds memory
 MAX_EARLY_CANCELS_COUNT = 5_000  # ids of jobs that were cancelled and never accepted
+# A snapshot lists so many done units; more are ranges, which earlier releases ignore.
+MAX_LISTED_DONE_COUNT = 500
 # Jobs whose ends and launches are kept until a record describes them.
 MAX_UNKNOWN_JOBS_COUNT = 5_000
 UNKNOWN_HOST = "unknown"  # no host has this id, which has a slash
@@ -40,22 +37,26 @@
     """State of one job according to the log.
 
     `offset` is the stream offset of the first record with the job. `done` has the units
-    that are done. By unit, `saved` has (run, checkpoint), `failed_runs` the failed run
-    numbers, and `launched` the latest `Launched`. `written_wall_ms` is when the
-    log last got the whole job, in milliseconds on the wall clock.
+    that are done. By unit that isn't done, `saved` has (run, checkpoint), `failed_runs`
+    the failed run numbers, and `launched` the latest `Launched`. `written_wall_ms` is
+    when the log last got the whole job, in milliseconds on the wall clock.
+    `critical_path_ms` is the estimated time of the longest chain of the job's steps.
     """
 
     def __init__(self, job, offset):
         self.job = job
         self.offset = offset
         self.state = WorkState.PENDING
-        self.done = set()
+        self.done = DoneUnits(job)
         self.failed_runs = {}
         self.saved = {}
         self.launched = {}
         self.written_wall_ms = job.accepted_wall_ms
+        self._runs_of_done_count = 0
+        self._has_failed_unit = False
         self._unit_count = _unit_count(job)
-        self._ready = {}
+        self.critical_path_ms = critical_path_ms(job)
+        self._work_left = {}  # by occurrence with ended steps; None for the others
 
     @property
     def was_snapshotted(self):
@@ -67,27 +68,24 @@
         """Whether the job is pending or running."""
         return self.state in ACTIVE_STATES
 
+    @property
+    def run_count(self):
+        """The number of runs of all units that were launched."""
+        open_runs = sum(launched.run for launched in self.launched.values())
+        return self._runs_of_done_count + open_runs
+
     def step_done(self, occurrence, step_number):
         """Return whether all units of a step are done."""
-        prefix = (self.job.job_id, occurrence, step_number)
-        step = self.job.steps[step_number]
-        if step.gang:
-            return Unit(*prefix, GANG_INDEX) in self.done
-        return all(Unit(*prefix, index) in self.done for index in range(step.count))
-
-    def ready(self, occurrence):
-        """Return the units of an occurrence that aren't done and may start."""
-        if occurrence not in self._ready:
-            self._ready[occurrence] = tuple(
-                unit
-                for step_number, step in enumerate(self.job.steps)
-                if all(self.step_done(occurrence, earlier) for earlier in step.after)
-                for unit in units_of_step(
-                    self.job.job_id, occurrence, step_number, step
-                )
-                if unit not in self.done
+        return self.done.has_step(occurrence, step_number)
+
+    def work_left(self, occurrence):
+        """Return the `WorkLeft` of an occurrence."""
+        key = None if self.done.is_untouched(occurrence) else occurrence
+        if key not in self._work_left:
+            self._work_left[key] = measure_work_left(
+                self.job, lambda number: self.step_done(occurrence, number)
             )
-        return self._ready[occurrence]
+        return self._work_left[key]
 
     def record_end(self, end):
         """Record the end of a run; duplicates change nothing."""
@@ -101,16 +99,16 @@
         if step.lasting:
             return
         if end.kind == EndKind.DONE:
-            self.done.add(unit)
-            self._ready = {}
+            self._add_done(unit)
         elif end.kind == EndKind.FAILED:
-            self.failed_runs.setdefault(unit, set()).add(end.run)
+            self._add_failed(unit, end.run)
         self._update_state()
 
     def record_launch(self, launched):
         """Record the launch of a run, unless a later run is known already."""
         previous = self.launched.get(launched.unit)
-        if previous is None or previous.run < launched.run:
+        is_later = previous is None or previous.run < launched.run
+        if is_later and launched.unit not in self.done:
             self.launched[launched.unit] = launched
         if self.state == WorkState.PENDING:
             self.state = WorkState.RUNNING
@@ -118,22 +116,30 @@
     def merge_snapshot(self, snapshot):
         """Add what a snapshot has beyond the known state; remove nothing."""
         self.written_wall_ms = max(self.written_wall_ms, snapshot.written_wall_ms)
-        self.done.update(snapshot.done)
-        self._ready = {}
+        for unit in snapshot.done:
+            self._add_done(unit)
+        for done_range in snapshot.done_ranges:
+            self.done.add_range(done_range)
+        self._work_left = {}
         for unit, run in snapshot.failed:
-            self.failed_runs.setdefault(unit, set()).add(run)
+            self._add_failed(unit, run)
         for unit, run, saved in snapshot.saved:
             self._record_checkpoint(unit, run, saved)
         for launched in snapshot.launched:
             self.record_launch(launched)
+        for unit in [unit for unit in self.launched if unit in self.done]:
+            self._forget_runs(unit)
+        if self.state == WorkState.PENDING and (self.done or self.failed_runs):
+            self.state = WorkState.RUNNING
         self._update_state()
 
     def snapshot(self, epoch, wall_ms):
         """Return the whole state of the job as one record of the given epoch."""
+        is_short = len(self.done) <= MAX_LISTED_DONE_COUNT
         return WorkSnapshot(
             epoch,
             self.job,
-            tuple(sorted(self.done)),
+            tuple(sorted(self.done)) if is_short else (),
             tuple(
                 (unit, run)
                 for unit, runs in self.failed_runs.items()
@@ -142,11 +148,34 @@
             tuple((unit, *saved) for unit, saved in self.saved.items()),
             tuple(self.launched.values()),
             wall_ms,
+            () if is_short else self.done.to_ranges(),
         )
 
+    def _add_done(self, unit):
+        if self.done.add(unit):
+            self._forget_runs(unit)
+            if self.step_done(unit.occurrence, unit.step):
+                self._work_left.pop(unit.occurrence, None)
+
+    def _forget_runs(self, unit):
+        """Forget the runs of a unit that is done."""
+        launched = self.launched.pop(unit, None)
+        if launched is not None:
+            self._runs_of_done_count += launched.run
+        self.failed_runs.pop(unit, None)
+        self.saved.pop(unit, None)
+
+    def _add_failed(self, unit, run):
+        """Count a failed run; a unit that is done can't fail its job any more."""
+        if unit in self.done:
+            return
+        runs = self.failed_runs.setdefault(unit, set())
+        runs.add(run)
+        self._has_failed_unit |= len(runs) >= self.job.max_failures
+
     def _record_checkpoint(self, unit, run, saved):
         last_run, _ = self.saved.get(unit, (0, ""))
-        if run >= last_run:
+        if run >= last_run and unit not in self.done:
             self.saved[unit] = (run, saved)
 
     def _update_state(self):
@@ -155,10 +184,7 @@
             return
         if len(self.done) == self._unit_count:
             self.state = WorkState.COMPLETED
-        elif any(
-            len(runs) >= self.job.max_failures and unit not in self.done
-            for unit, runs in self.failed_runs.items()
-        ):
+        elif self._has_failed_unit:
             self.state = WorkState.FAILED
 
 
--- a/knapweedshed/models/work_records.py
+++ b/knapweedshed/models/work_records.py
@@ -5,6 +5,7 @@
 from knapweedshed.models.work import TaskEnd, Unit, WorkJob
 
 WORK_STREAM = "work"
+ALL_STEPS = -1
 
 
 class WorkAccepted(NamedTuple):
@@ -63,9 +64,23 @@
     read_offset: int = -1
 
 
+class DoneRange(NamedTuple):
+    """Units that are done: all of some occurrences, or some of one step.
+
+    The position of a gang in its step is 0.
+    """
+
+    first_occurrence: int
+    last_occurrence: int
+    step: int = ALL_STEPS
+    first_index: int = 0
+    last_index: int = 0
+
+
 class WorkSnapshot(NamedTuple):
     """The state of an open job, for readers that start after its earlier records.
 
+    The units that are done are in `done`, or in `done_ranges` if there are many.
     `failed` has (unit, run) of each failed run, `saved` (unit, run, checkpoint).
     `written_wall_ms` is when the snapshot was written.
     """
@@ -77,6 +92,7 @@
     saved: tuple[tuple[Unit, int, str], ...] = ()
     launched: tuple[Launched, ...] = ()
     written_wall_ms: int = 0
+    done_ranges: tuple[DoneRange, ...] = ()
 
 
 class SpeedsLearned(NamedTuple):
@@ -141,5 +157,6 @@
     SpeedsLearned,
     PriorityLoad,
     LoadReported,
+    DoneRange,
     WorkSnapshot,
 )
--- a/tests/test_log_beginning.py
+++ b/tests/test_log_beginning.py
@@ -24,6 +24,7 @@
 )
 from knapweedshed.controllers.work_stream import apply_records
 from knapweedshed.decisions.leadership import LEADER_TIMEOUT_MS
+from knapweedshed.decisions.units import ready_steps
 from knapweedshed.decisions.work_ledger import WorkLedger, shows_end
 from knapweedshed.links.log import LogTail, ReadNext
 from knapweedshed.models.calls import CallKind, WorkCall
@@ -165,13 +166,17 @@
 
     def _launch(self, epoch):
         for progress in self.ledger.open_jobs.values():
-            for unit in progress.ready(0):
+            for unit in self._ready_units(progress):
                 if unit not in progress.launched:
                     self._append(
                         RunsLaunched(epoch, (Launched(unit, 1, (("w0", 1),)),))
                     )
                     return
 
+    def _ready_units(self, progress):
+        for _, step in ready_steps(progress, 0):
+            yield from progress.done.units_left(0, step)
+
     def _end(self, epoch):
         running = self._running()
         if running:
