--- a/tests/test_log_beginning.py
+++ b/tests/test_log_beginning.py
@@ -29,6 +29,7 @@
 from knapweedshed.models.service_configuration import ServiceConfiguration
 from knapweedshed.models.work import (
     EndKind,
+    Task,
     TaskEnd,
     Unit,
     WorkState,
@@ -57,6 +58,8 @@
 from tests.test_links import create_actor_without_thread
 
 JOB_ID = "a" * 16
+FIRST_UNIT = Unit(JOB_ID, 0, 0, 0)
+FIRST_END = TaskEnd(1, Task(*FIRST_UNIT), 1, EndKind.DONE)
 STREAM_RECORDS = 500
 SNAPSHOT_PERIOD_RECORDS = 60
 HEARTBEAT_PERIOD_RECORDS = 5
@@ -299,14 +302,12 @@
                     self._assert_same_jobs(late, stream.ledger, first)
 
     def test_job_that_ended_before_the_first_heartbeat_is_not_open(self):
-        unit = Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, make_step())[0], 1, EndKind.DONE)
         late = read_stream(
             [
                 ActingClaimed(1, "h1"),
                 WorkAccepted(make_job()),
-                RunsLaunched(1, (Launched(unit, 1, (("w0", 1),)),)),
-                TasksEnded(1, (end,)),
+                RunsLaunched(1, (Launched(FIRST_UNIT, 1, (("w0", 1),)),)),
+                TasksEnded(1, (FIRST_END,)),
                 ActingBeat(1, "h1", 3),
             ],
             1,
@@ -327,13 +328,11 @@
         self.assertEqual(list(late.open_jobs), [JOB_ID])
 
     def test_claims_among_the_first_records_tell_the_epochs_before_them(self):
-        unit = Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, make_step())[0], 1, EndKind.DONE)
         late = read_stream(
             [
                 ActingClaimed(1, "h1"),
                 WorkAccepted(make_job()),
-                TasksEnded(1, (end,)),
+                TasksEnded(1, (FIRST_END,)),
                 ActingClaimed(2, "h2"),
                 ActingClaimed(3, "h3"),
                 ActingBeat(3, "h3", 4),
@@ -344,8 +343,6 @@
         self.assertEqual((late.epoch, late.acting_host), (3, "h3"))
 
     def test_late_records_of_a_replaced_host_do_not_decide_the_epoch(self):
-        unit = Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, make_step())[0], 1, EndKind.DONE)
         late = read_stream(
             [
                 ActingClaimed(1, "h1"),
@@ -353,7 +350,7 @@
                 ActingBeat(1, "h1", 0),
                 ActingBeat(2, "h2", 2),
                 WorkAccepted(make_job()),
-                TasksEnded(2, (end,)),
+                TasksEnded(2, (FIRST_END,)),
             ],
             2,
         )
@@ -362,27 +359,23 @@
     def test_end_between_a_snapshot_and_its_record_is_kept(self):
         # The snapshot was taken before the end was read, and appended after it.
         job = make_job(steps=(make_step(2),))
-        unit = Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, job.steps[0])[0], 1, EndKind.DONE)
         late = read_stream(
             [
                 WorkAccepted(job),
                 ActingBeat(1, "h1", 0),
-                TasksEnded(1, (end,)),
+                TasksEnded(1, (FIRST_END,)),
                 WorkSnapshot(1, job),
             ],
             1,
         )
-        self.assertEqual(set(late.jobs[JOB_ID].done), {unit})
+        self.assertEqual(set(late.jobs[JOB_ID].done), {FIRST_UNIT})
 
     def test_second_claim_of_the_epoch_in_force_does_not_begin_the_log(self):
-        unit = Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, make_step())[0], 1, EndKind.DONE)
         late = read_stream(
             [
                 ActingClaimed(1, "h1"),
                 ActingClaimed(2, "h2"),
-                TasksEnded(1, (end,)),
+                TasksEnded(1, (FIRST_END,)),
                 ActingClaimed(2, "h3"),
                 ActingBeat(2, "h2", 1),
                 WorkSnapshot(2, make_job()),
@@ -467,54 +460,50 @@
         self.assertEqual(self._appended(ActingClaimed), [])
 
     def test_job_that_ends_after_a_snapshot_gets_a_last_one(self):
-        job, unit = make_job(), Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, job.steps[0])[0], 1, EndKind.DONE)
+        job = make_job()
         self.harness.accept(job, make_job("b" * 16))
         self.harness.read([WorkSnapshot(1, job, written_wall_ms=5)])
         self._appended(WorkSnapshot)
-        other_end = end._replace(task=end.task._replace(job_id="b" * 16))
-        self.harness.read([TasksEnded(1, (end, other_end))])
+        other_end = FIRST_END._replace(task=FIRST_END.task._replace(job_id="b" * 16))
+        self.harness.read([TasksEnded(1, (FIRST_END, other_end))])
         snapshots = self._appended(WorkSnapshot)
         self.assertEqual(
-            [(item.job, item.done) for item in snapshots], [(job, (unit,))]
+            [(item.job, item.done) for item in snapshots], [(job, (FIRST_UNIT,))]
         )
 
     def test_job_that_ends_after_a_second_acceptance_gets_a_last_snapshot(self):
-        job, unit = make_job(), Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, job.steps[0])[0], 1, EndKind.DONE)
+        job = make_job()
         self.harness.accept(job, job)
-        self.harness.read([TasksEnded(1, (end,))])
+        self.harness.read([TasksEnded(1, (FIRST_END,))])
         self.assertEqual(
-            [item.done for item in self._appended(WorkSnapshot)], [(unit,)]
+            [item.done for item in self._appended(WorkSnapshot)], [(FIRST_UNIT,)]
         )
 
     def test_successor_writes_the_last_snapshot_that_is_not_in_force(self):
-        job, unit = make_job(), Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, job.steps[0])[0], 1, EndKind.DONE)
+        job = make_job()
         self.harness.accept(job)
         self.harness.read(
-            [WorkSnapshot(1, job, written_wall_ms=5), TasksEnded(1, (end,))]
+            [WorkSnapshot(1, job, written_wall_ms=5), TasksEnded(1, (FIRST_END,))]
         )
         (last,) = self._appended(WorkSnapshot)
         self.harness.read([ActingClaimed(2, "h2"), last])
         self.harness.read([ActingClaimed(3, HOST_ID)])
         (again,) = self._appended(WorkSnapshot)
-        self.assertEqual((again.epoch, again.done), (3, (unit,)))
+        self.assertEqual((again.epoch, again.done), (3, (FIRST_UNIT,)))
         self.harness.read([again, ActingClaimed(4, "h2"), ActingClaimed(5, HOST_ID)])
         self.assertEqual(self._appended(WorkSnapshot), [])
 
     def test_end_is_written_again_after_a_late_copy_of_an_older_snapshot(self):
-        job, unit = make_job(), Unit(JOB_ID, 0, 0, 0)
-        end = TaskEnd(1, tasks_of_unit(unit, job.steps[0])[0], 1, EndKind.DONE)
+        job = make_job()
         self.harness.accept(job)
         stale = WorkSnapshot(1, job, written_wall_ms=5)
-        self.harness.read([stale, TasksEnded(1, (end,))])
+        self.harness.read([stale, TasksEnded(1, (FIRST_END,))])
         (last,) = self._appended(WorkSnapshot)
         self.harness.read([last])
         self.assertEqual(self._appended(WorkSnapshot), [])
         self.harness.read([stale])
         self.assertEqual(
-            [item.done for item in self._appended(WorkSnapshot)], [(unit,)]
+            [item.done for item in self._appended(WorkSnapshot)], [(FIRST_UNIT,)]
         )
 
     def test_heartbeat_tells_how_far_its_writer_has_read(self):
